Start the workspace: Maven modules, core types, interfaces and the design page

Cause: nothing existed. The module layout follows the pipeline of a request and keeps pure decisions apart from I/O, so that the same node code runs as a process and in virtual time. Ruled out: one module (no enforced dependency direction). Change: eight Maven modules, the catalogue and request types, the interfaces between the components of an entry instance, docs/design.md.

--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/once/OnceRegistry.kt
@@ -0,0 +1,41 @@
+package org.berylpoint.entry.once
+
+import arrow.core.Either
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.model.Problem
+import org.berylpoint.model.ServeRequest
+
+/** Sees to it that a non-idempotent request runs at most once over all entry instances. */
+public interface OnceRegistry {
+    /** Records [request] as accepted, or tells what became of an earlier one with the same key. */
+    public suspend fun begin(request: ServeRequest): OnceDecision
+}
+
+/** What to do with a non-idempotent request. */
+public sealed interface OnceDecision {
+    /** This instance holds the record and is to run the request. */
+    public data class Run(val ticket: OnceTicket) : OnceDecision
+
+    /** An earlier request with this key has the stored [answer]. */
+    public data class Answered(val answer: StoredAnswer) : OnceDecision
+
+    public data class Refused(val problem: Problem) : OnceDecision
+}
+
+/** The record of one accepted non-idempotent request, held by this instance. */
+public interface OnceTicket {
+    /** Records the dispatch to [server]; the request may be sent only if this succeeds, and only once. */
+    public suspend fun dispatch(server: BackendServerId): Either<Problem, Unit>
+
+    /** Stores the answer for repeats; retried in the background until it is stored. Returns when stored or after a bound. */
+    public suspend fun finish(answer: StoredAnswer)
+
+    /** No byte was sent: frees the key, so that a repeat may run. Safe after a failed or a successful [dispatch]. */
+    public suspend fun abandon()
+
+    /** The request was sent, but its outcome can't be known: repeats are told so. */
+    public suspend fun outcomeUnknown()
+}
+
+/** A complete answer of a backend server. */
+public data class StoredAnswer(val status: Int, val contentType: String, val body: String)
--- /dev/null
+++ b/model/src/main/kotlin/org/berylpoint/model/Problem.kt
@@ -0,0 +1,12 @@
+package org.berylpoint.model
+
+import kotlinx.serialization.Serializable
+
+/** Why a request failed, in the shape that RFC 9457 gives to `application/problem+json`. */
+@Serializable
+public data class Problem(
+    val kind: ErrorKind,
+    val detail: String,
+    /** Overrides the kind's run state when the pipeline knows more. */
+    val ran: RunState = kind.ran,
+)
