--- a/entry/src/main/kotlin/org/berylpoint/entry/once/OnceRegistry.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/once/OnceRegistry.kt
@@ -27,7 +27,7 @@
     /** Records the dispatch to [server]; the request may be sent only if this succeeds, and only once. */
     public suspend fun dispatch(server: BackendServerId): Either<Problem, Unit>
 
-    /** Stores the answer for repeats; retried in the background until it is stored. Returns when stored or after a bound. */
+    /** Stores the answer for repeats, retrying in the background; returns when it is stored or after a bound. */
     public suspend fun finish(answer: StoredAnswer)
 
     /** No byte was sent: frees the key, so that a repeat may run. Safe after a failed or a successful [dispatch]. */
--- a/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
@@ -93,7 +93,7 @@
     @Serializable
     public data class FetchCatalogue(val known: Long) : PeerMessage
 
-    /** The receiver's catalogue, or null when it is not newer; with the updates since [FetchCatalogue.known] if held. */
+    /** The catalogue of the receiver, or null when it is not newer; with the updates since [FetchCatalogue.known]. */
     @Serializable
     public data class CatalogueData(val catalogue: Catalogue?, val updates: List<CatalogueUpdate> = emptyList()) :
         PeerMessage
