Add the HTTP server for callers, the client for backend servers and a first pipeline

Ruled out: one connection pool for all calls, because a pooled connection that the server has just closed would leave the outcome of a booking unknown; withTimeout around receive in the stream writer, because it can lose a part. Change: CallerServer on Javalin with answers written by coroutines, HttpBackendClient on OkHttp, ServingPipeline of filters (admit, deduplicate, place, dispatch, stream, answer). Grant gets an optional load, which the owner's reply carries already, for the choice of the less loaded server. Conclusion: streams are passed on unchanged so far; migration follows.

--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/CallerAnswer.kt
@@ -0,0 +1,60 @@
+package org.berylpoint.entry.http
+
+import io.javalin.http.Context
+import org.berylpoint.model.AnswerEvent
+import org.berylpoint.model.ServeRequest
+
+/** Writes one answer to a caller; blocks while the caller's socket buffer is full. */
+internal class CallerAnswer(private val context: Context, private val request: ServeRequest) {
+    private val response = context.res()
+    private val output by lazy(LazyThreadSafetyMode.NONE) { response.outputStream }
+    private var headWritten = false
+    private var events = false
+
+    fun write(event: AnswerEvent) {
+        when (event) {
+            is AnswerEvent.Head -> head(event.status, event.contentType)
+            is AnswerEvent.Data -> data(event.text)
+            AnswerEvent.End -> Unit
+            is AnswerEvent.Failed -> failed(event)
+        }
+    }
+
+    /** A comment line; before the head nothing may be written, because the status is not known yet. */
+    fun writeKeepAlive() {
+        if (headWritten && events) print(": keep-alive\n\n")
+    }
+
+    fun flush() {
+        if (headWritten) output.flush()
+    }
+
+    private fun head(status: Int, contentType: String) {
+        response.status = status
+        response.contentType = contentType
+        events = contentType.startsWith("text/event-stream")
+        if (events) response.setHeader("Cache-Control", "no-cache")
+        headWritten = true
+    }
+
+    private fun data(text: String) {
+        print(if (events) text.lineSequence().joinToString("", postfix = "\n") { "data: $it\n" } else text)
+    }
+
+    private fun failed(event: AnswerEvent.Failed) {
+        val body = event.problem.toJson(request.id)
+        when {
+            !headWritten -> {
+                head(event.problem.kind.status, PROBLEM_JSON)
+                print(body)
+            }
+
+            events -> print("event: error\ndata: $body\n\n")
+
+            // Part of a body is out; ending the connection early is all that tells the caller.
+            else -> error("the answer to ${request.id} broke off: ${event.problem.detail}")
+        }
+    }
+
+    private fun print(text: String) = output.write(text.toByteArray())
+}
--- a/entry/src/main/kotlin/org/berylpoint/entry/ownership/Reservations.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/ownership/Reservations.kt
@@ -24,9 +24,15 @@
 
 /** A place in flight on a backend server. */
 public interface Grant {
+    /** The load that the owner told with the grant; null when it is not known. */
+    public val load: ServerLoad? get() = null
+
     /** Whether a dispatch may still start under this grant; to be asked right before the first byte is sent. */
     public fun isUsable(): Boolean
 
     /** Gives the place back; later calls do nothing. Never suspends: the message is sent in the background. */
     public fun release(outcome: AttemptOutcome)
 }
+
+/** Requests in flight on a backend server and its current limit. */
+public data class ServerLoad(val inFlight: Int, val limit: Int)
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/CallFilter.kt
@@ -0,0 +1,82 @@
+package org.berylpoint.entry.pipeline
+
+import arrow.core.getOrElse
+import org.berylpoint.entry.judgement.Judge
+import org.berylpoint.entry.once.StoredAnswer
+import org.berylpoint.model.AnswerEvent
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.model.ErrorKind
+import org.berylpoint.model.RunState
+import org.berylpoint.peer.AttemptOutcome
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Serves an idempotent request to a plain service: one attempt, then others on other servers while the retry budget
+ * and the deadline allow. The answer is given on only when it is whole, so that a retry repeats nothing.
+ */
+internal class CallFilter(
+    private val placer: Placer,
+    private val wholeCall: WholeCall,
+    private val judge: Judge,
+    private val retries: Retries,
+) : Filter {
+    override suspend fun handle(exchange: Exchange) {
+        val tried = HashSet<BackendServerId>()
+        var lastAnswer: StoredAnswer? = null
+        var lastDetail = "no attempt was made"
+        retries.first()
+        while (true) {
+            val placement = placer.place(exchange, avoid = tried).getOrElse {
+                // The error that a server gave is a better answer than that no other server is free.
+                return lastAnswer?.let { exchange.answer(it) } ?: exchange.fail(it)
+            }
+            val attempt = exchange.nextAttempt()
+            judge.permit(exchange.request.fingerprint, attempt).onLeft {
+                placement.grant.release(AttemptOutcome.NOT_SENT)
+                return exchange.fail(it)
+            }
+            if (!placement.grant.isUsable()) {
+                placement.grant.release(AttemptOutcome.NOT_SENT)
+                continue
+            }
+            val timeout = minOf(exchange.remaining, exchange.limits.maxRunMillis.milliseconds)
+            when (val result = wholeCall.run(exchange, placement, attempt, timeout)) {
+                is WholeCall.Result.Whole -> {
+                    if (!isRetryable(result.answer)) return exchange.answer(result.answer)
+                    lastAnswer = result.answer
+                }
+
+                is WholeCall.Result.NotSent -> lastDetail = result.detail
+
+                is WholeCall.Result.Broken -> lastDetail = result.detail
+
+                WholeCall.Result.Late -> lastDetail = "no complete answer in time"
+            }
+            tried += placement.server.id
+            if (exchange.remaining <= Duration.ZERO || !retries.tryRetry(exchange, tried.size)) {
+                return lastAnswer?.let { exchange.answer(it) } ?: exchange.fail(failureKind(exchange), lastDetail)
+            }
+        }
+    }
+
+    private fun failureKind(exchange: Exchange) = when {
+        exchange.remaining <= Duration.ZERO -> ErrorKind.DeadlineExceeded
+        exchange.reached == RunState.NOT_RUN -> ErrorKind.NoBackend
+        else -> ErrorKind.BackendFailed
+    }
+
+    private fun isRetryable(answer: StoredAnswer) =
+        answer.status >= WholeCall.SERVER_ERROR || answer.status == TOO_MANY_REQUESTS
+
+    private companion object {
+        const val TOO_MANY_REQUESTS = 429
+    }
+}
+
+/** Gives a whole answer to the caller. */
+internal suspend fun Exchange.answer(answer: StoredAnswer) {
+    emit(AnswerEvent.Head(answer.status, answer.contentType))
+    if (answer.body.isNotEmpty()) emit(AnswerEvent.Data(answer.body))
+    emit(AnswerEvent.End)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
@@ -0,0 +1,176 @@
+package org.berylpoint.entry.pipeline
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import org.berylpoint.entry.backend.ListedServer
+import org.berylpoint.entry.backend.ServerDirectory
+import org.berylpoint.entry.judgement.Judge
+import org.berylpoint.entry.ownership.Reservations
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.model.ErrorKind
+import org.berylpoint.model.Problem
+import org.berylpoint.model.ServeRequest
+import org.berylpoint.model.VersionName
+import org.berylpoint.policy.placement.PrefixAffinity
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Finds a place in flight for an attempt.
+ *
+ * A version is drawn by the judge's shares. Of its servers, rendezvous hashing of the prompt prefix gives a few; two
+ * of them are sampled and the less loaded is asked first (power of two choices, Mitzenmacher 2001). Then the others
+ * are asked, and when all are full the request waits.
+ */
+internal class Placer(
+    private val directory: ServerDirectory,
+    private val reservations: Reservations,
+    private val judge: Judge,
+    private val loads: LoadView,
+    private val waitingRoom: WaitingRoom,
+    private val drain: Drain,
+    private val random: Random,
+) {
+    /** A place on a server that is not in [avoid], [prefer] first; a problem when there is none in time. */
+    suspend fun place(
+        exchange: Exchange,
+        avoid: Set<BackendServerId> = emptySet(),
+        prefer: BackendServerId? = null,
+    ): Either<Problem, Placement> {
+        val search = Search(exchange, avoid, prefer)
+        search.tryOnce()?.let { return it.right() }
+        val requestClass = exchange.request.requestClass
+        refusal(exchange)?.let { return it.left() }
+        return waitingRoom.waitIn(requestClass, { it.isRight() }) { search.waitForPlace() }
+    }
+
+    /** Why waiting is no use, if so. */
+    private fun refusal(exchange: Exchange): Problem? {
+        val requestClass = exchange.request.requestClass
+        val waiting = waitingRoom.waiting(requestClass)
+        val needed = waitingRoom.expectedWait(requestClass) + waitingRoom.floor(requestClass)
+        return when {
+            waiting >= exchange.limits.queueLimit -> Problem(ErrorKind.Overloaded, "$waiting requests wait already")
+
+            needed > exchange.remaining ->
+                Problem(ErrorKind.Overloaded, "$waiting requests wait already, which leaves too little time")
+
+            else -> null
+        }
+    }
+
+    private inner class Search(val exchange: Exchange, val avoid: Set<BackendServerId>, val prefer: BackendServerId?) {
+        private val request: ServeRequest = exchange.request
+        private var version: VersionName? = null
+
+        /** Asks the owners of up to [MAX_ASKED] servers without waiting. */
+        suspend fun tryOnce(): Placement? = candidates().firstNotNullOfOrNull { ask(it, Duration.ZERO) }
+
+        suspend fun waitForPlace(): Either<Problem, Placement> {
+            val floor = waitingRoom.floor(request.requestClass)
+            var sinceServer = Duration.ZERO
+            while (true) {
+                val left = exchange.remaining - floor
+                if (drain.mustHandOver(floor)) return shuttingDown().left()
+                val candidates = candidates()
+                val server = candidates.minByOrNull { loads.load(it.server.id) }
+                if (left <= Duration.ZERO) return outOfTime(server != null).left()
+                if (server == null && sinceServer >= SERVER_WAIT) return noBackend().left()
+                val wait = minOf(WAIT_STEP, left)
+                sinceServer = if (server == null) sinceServer + wait else Duration.ZERO
+                val asked = request.deadline.elapsedNow()
+                server?.let { ask(it, wait) }?.let { return it.right() }
+                // An owner that denies at once, or no owner to ask, must not make this loop spin.
+                val passed = request.deadline.elapsedNow() - asked
+                if (passed < wait) delay((wait - passed).coerceAtMost(RETRY_PAUSE))
+                candidates.filter { it !== server }.firstNotNullOfOrNull { ask(it, Duration.ZERO) }
+                    ?.let { return it.right() }
+            }
+        }
+
+        private suspend fun ask(listed: ListedServer, wait: Duration): Placement? {
+            val server = listed.server
+            val asked = reservations.reserve(server, request.id, exchange.remaining, wait, exchange.limits.worth)
+            val grant = asked.getOrElse {
+                loads.told(server.id, it.inFlight, it.limit)
+                return null
+            }
+            grant.load?.let { loads.told(server.id, it.inFlight, it.limit) }
+            return Placement(listed, grant)
+        }
+
+        private fun candidates(): List<ListedServer> {
+            val open = directory.candidates(request.requestClass).filter {
+                it.server.id !in avoid && !loads.isAvoided(it.server.id)
+            }
+            val ofVersion = draw(open)
+            val preferred = ofVersion.filter { it.server.id == prefer }
+            val ordered = PrefixAffinity.order(prefix(), ofVersion - preferred.toSet(), MAX_ASKED) {
+                it.server.id.value
+            }
+            val affine = ordered.take(AFFINE)
+            val sampled = affine.shuffled(random).take(2).sortedBy { loads.load(it.server.id) }
+            return preferred + sampled + (affine - sampled.toSet()) + ordered.drop(AFFINE)
+        }
+
+        /**
+         * The servers of the version drawn for this request. The draw is kept while that version has servers: with a
+         * new draw at each try, a new version would get more than its share whenever the old one is full.
+         */
+        private fun draw(open: List<ListedServer>): List<ListedServer> {
+            val shares = judge.shares(request.requestClass, route())
+            val byVersion = open.groupBy { it.entry.version }.filterKeys { (shares[it] ?: 0.0) > 0.0 }
+            val drawn = version?.takeIf { (shares[it] ?: 0.0) > 0.0 } ?: pick(shares)
+            version = drawn
+            val share = shares[drawn] ?: return emptyList()
+            // A version with the larger share has more trust, so it may take over; never the other way round.
+            return byVersion[drawn]
+                ?: byVersion.filterKeys { shares.getValue(it) >= share }.values.firstOrNull().orEmpty()
+        }
+
+        private fun pick(shares: Map<VersionName, Double>): VersionName? {
+            var point = random.nextDouble() * shares.values.sum()
+            for ((name, share) in shares) {
+                point -= share
+                if (share > 0.0 && point < 0.0) return name
+            }
+            return shares.entries.lastOrNull { it.value > 0.0 }?.key
+        }
+
+        private fun route() = routeOf(request)
+
+        // Plain services have no prefix cache, so their requests spread evenly.
+        private fun prefix() = exchange.chat?.prefix ?: request.id.value
+
+        private fun noBackend() =
+            Problem(ErrorKind.NoBackend, "no backend server of class '${request.requestClass}' is in service")
+
+        private fun outOfTime(hasServers: Boolean) =
+            if (hasServers) Problem(ErrorKind.Overloaded, "no place within the deadline") else noBackend()
+    }
+
+    private companion object {
+        /** Servers that a prompt prefix maps to: enough to spread a popular prefix, few enough to stay cached. */
+        const val AFFINE = 4
+
+        /** Owners asked in one round; each costs a round trip between entry instances. */
+        const val MAX_ASKED = 8
+
+        /** Time to wait at one owner before the others are asked again. */
+        val WAIT_STEP = 500.milliseconds
+        val RETRY_PAUSE = 100.milliseconds
+
+        /** Time to wait for a server of the class to appear: the instance list lags by about this much. */
+        val SERVER_WAIT = 2.seconds
+    }
+}
+
+/** The path of the request without the query: the route in evidence. */
+internal fun routeOf(request: ServeRequest): String = request.path.substringBefore('?')
+
+internal fun shuttingDown() = Problem(ErrorKind.ShuttingDown, "the entry instance is shutting down")
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/ServingPipeline.kt
@@ -0,0 +1,108 @@
+package org.berylpoint.entry.pipeline
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.flow.flowOn
+import kotlinx.coroutines.withTimeoutOrNull
+import org.berylpoint.entry.backend.ServerDirectory
+import org.berylpoint.entry.catalogue.CatalogueSource
+import org.berylpoint.entry.judgement.Judge
+import org.berylpoint.entry.node.NodeContext
+import org.berylpoint.entry.once.OnceRegistry
+import org.berylpoint.entry.ownership.Reservations
+import org.berylpoint.entry.stream.StreamFilter
+import org.berylpoint.model.AnswerEvent
+import org.berylpoint.model.ErrorKind
+import org.berylpoint.model.Problem
+import org.berylpoint.model.ServeRequest
+import org.berylpoint.model.ServiceKind
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The pipeline of an entry instance, put together from its filters.
+ *
+ * All of its state is confined to the dispatcher of [NodeContext.scope], whichever thread collects an answer.
+ */
+public class ServingPipeline(
+    private val node: NodeContext,
+    private val catalogue: CatalogueSource,
+    directory: ServerDirectory,
+    reservations: Reservations,
+    once: OnceRegistry,
+    judge: Judge,
+) : Pipeline {
+    private val drain = Drain(node.time)
+    private val loads = LoadView(node.time)
+    private val waitingRoom = WaitingRoom(node.time)
+    private val retries = Retries(node.time)
+    private val placer = Placer(directory, reservations, judge, loads, waitingRoom, drain, node.random)
+    private val dispatcher = Dispatcher(node.backends, directory, judge, loads, node.scope)
+    private val wholeCall = WholeCall(dispatcher, waitingRoom, node.time)
+    private val calls = CallFilter(placer, wholeCall, judge, retries)
+    private val streams = StreamFilter(placer, dispatcher, judge, retries)
+    private val onces = OnceFilter(node.scope, once, placer, wholeCall, judge, drain)
+    private val idempotent = Filter {
+        if (it.request.kind ==
+            ServiceKind.MODEL
+        ) {
+            streams.handle(it)
+        } else {
+            calls.handle(it)
+        }
+    }
+    private val admit = AdmitFilter(Filter { withinDeadline(it, idempotent) }, onces)
+
+    /** Requests that run or wait on this instance. */
+    public val inFlight: Int get() = drain.count
+
+    override fun serve(request: ServeRequest): Flow<AnswerEvent> {
+        val flow = channelFlow {
+            val refusal = refusal()
+            if (refusal != null) {
+                send(AnswerEvent.Failed(refusal))
+            } else {
+                val entries = catalogue.current.value?.entriesOf(request.requestClass).orEmpty()
+                drain.track { handle(Exchange(request, entries) { send(it) }) }
+            }
+        }
+        val nodeDispatcher = node.scope.coroutineContext[CoroutineDispatcher] ?: return flow
+        return flow.flowOn(nodeDispatcher)
+    }
+
+    /**
+     * Refuses new requests from now on and returns when all accepted ones are answered, or when [notice] is over.
+     * A request that still waits for a place is refused as not run once it could no longer end within the notice.
+     */
+    public suspend fun drain(notice: Duration) {
+        drain.begin(notice)
+        withTimeoutOrNull(notice) { drain.awaitIdle() }
+    }
+
+    private suspend fun handle(exchange: Exchange) {
+        try {
+            admit.handle(exchange)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            logger.error(e) { "pipeline: request ${exchange.request.id} failed" }
+            exchange.fail(ErrorKind.Internal, "unexpected ${e::class.simpleName}")
+        }
+    }
+
+    private fun refusal(): Problem? = when {
+        drain.isDraining -> shuttingDown()
+        catalogue.current.value == null -> Problem(ErrorKind.NotReady, "no catalogue is known yet")
+        else -> null
+    }
+
+    private suspend fun withinDeadline(exchange: Exchange, filter: Filter) {
+        withTimeoutOrNull(exchange.remaining.coerceAtLeast(1.milliseconds)) { filter.handle(exchange) }
+        if (!exchange.isAnswered) exchange.fail(ErrorKind.DeadlineExceeded, "the deadline passed")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/WholeCall.kt
@@ -0,0 +1,124 @@
+package org.berylpoint.entry.pipeline
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.berylpoint.entry.backend.BackendCall
+import org.berylpoint.entry.backend.BackendEvent
+import org.berylpoint.entry.once.StoredAnswer
+import org.berylpoint.model.RequestId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Sends one attempt and collects the whole answer before any of it is given on. */
+internal class WholeCall(
+    private val dispatcher: Dispatcher,
+    private val waitingRoom: WaitingRoom,
+    private val time: TimeSource.WithComparableMarks,
+) {
+    /** Sends [exchange]'s request within [timeout]; the place of [placement] is given back in any case. */
+    suspend fun run(exchange: Exchange, placement: Placement, attempt: String, timeout: Duration): Result {
+        val start = time.markNow()
+        val answer = Answer(start)
+        var result: Result? = null
+        try {
+            val call = callOf(exchange, attempt, exchange.request.body, timeout)
+            withTimeoutOrNull(timeout) {
+                dispatcher.send(exchange, placement, call).collect(answer::add)
+            }
+            return answer.result().also { result = it }
+        } finally {
+            val end = result?.let { endOf(exchange, it, answer) } ?: AttemptEnd.Abandoned
+            if (end is AttemptEnd.Good || end is AttemptEnd.Slow) {
+                waitingRoom.ran(exchange.request.requestClass, start.elapsedNow())
+            }
+            dispatcher.settle(exchange, placement, attempt, end)
+        }
+    }
+
+    private fun endOf(exchange: Exchange, result: Result, answer: Answer): AttemptEnd = when (result) {
+        is Result.NotSent -> AttemptEnd.NotSent(result.detail)
+        is Result.Broken -> AttemptEnd.Broken(result.detail)
+        Result.Late -> AttemptEnd.Failed("no complete answer in time")
+        is Result.Whole -> answer.end(result.answer.status, exchange.limits.firstByteMillis.milliseconds)
+    }
+
+    private class Answer(private val start: kotlin.time.ComparableTimeMark) {
+        private var head: BackendEvent.Head? = null
+        private val body = StringBuilder()
+        private var last: BackendEvent? = null
+        private var firstByte: Duration = Duration.ZERO
+
+        fun add(event: BackendEvent) {
+            when (event) {
+                is BackendEvent.Head -> {
+                    head = event
+                    firstByte = start.elapsedNow()
+                }
+
+                is BackendEvent.Data -> body.append(event.text)
+
+                BackendEvent.KeepAlive -> Unit
+
+                BackendEvent.End, is BackendEvent.Broken -> last = event
+            }
+        }
+
+        fun result(): Result {
+            val head = head
+            return when (val last = last) {
+                null -> Result.Late
+
+                is BackendEvent.Broken -> if (last.sent) Result.Broken(last.detail) else Result.NotSent(last.detail)
+
+                else -> if (head == null) {
+                    Result.Broken("the answer has no head")
+                } else {
+                    Result.Whole(StoredAnswer(head.status, head.contentType, body.toString()))
+                }
+            }
+        }
+
+        fun end(status: Int, normal: Duration): AttemptEnd = when {
+            status >= SERVER_ERROR -> AttemptEnd.Failed("status $status")
+            firstByte > normal * 2 -> AttemptEnd.Slow
+            else -> AttemptEnd.Good
+        }
+    }
+
+    /** How the call ended. */
+    sealed interface Result {
+        data class Whole(val answer: StoredAnswer) : Result
+
+        data class NotSent(val detail: String) : Result
+
+        data class Broken(val detail: String) : Result
+
+        data object Late : Result
+    }
+
+    companion object {
+        const val SERVER_ERROR = 500
+    }
+}
+
+/** The call for one attempt of an exchange's request. */
+internal fun callOf(
+    exchange: Exchange,
+    attempt: String,
+    body: String,
+    remaining: Duration,
+    stream: Boolean = false,
+): BackendCall {
+    val request = exchange.request
+    return BackendCall(
+        request = RequestId(request.id.value),
+        attempt = attempt,
+        method = request.method,
+        path = request.path,
+        contentType = request.contentType,
+        body = body,
+        idempotencyKey = request.idempotencyKey?.value,
+        stream = stream,
+        remaining = remaining,
+    )
+}
