--- a/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
@@ -21,7 +21,8 @@
     @Serializable
     public data class Heartbeat(
         val sender: Instance,
-        val members: List<Instance> = emptyList(),
+        /** A bounded sample of the members that the sender has heard of. */
+        val members: List<MemberDigest> = emptyList(),
         /** Members that the sender knows to be gone. */
         val departed: List<InstanceId> = emptyList(),
         val epochs: List<EpochDigest> = emptyList(),
@@ -115,6 +116,10 @@
     public data class CrashNotice(val fingerprint: Fingerprint, val attempt: String, val crashed: Boolean) : PeerMessage
 }
 
+/** A member and the time since it was last heard from, directly or through others. */
+@Serializable
+public data class MemberDigest(val instance: Instance, val ageMillis: Long)
+
 /** Why an owner denied a place. */
 @Serializable
 public enum class DenyReason { FULL, NOT_OWNER, RECOVERING, OUT_OF_SERVICE, SHUTTING_DOWN }
