--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeServer.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeServer.kt
@@ -35,7 +35,7 @@
     private val overload: OverloadBehaviour = OverloadBehaviour.SLOW,
     startsWarm: Boolean = true,
 ) {
-    private class ActiveFault(val fault: Fault, val sinceMillis: Long)
+    private class ActiveFault(val fault: ServerFault, val sinceMillis: Long)
 
     private val faults = mutableListOf<ActiveFault>()
     private val running = LinkedHashMap<ServerConnection, ServedCall>()
@@ -58,12 +58,12 @@
         get() = ((journal.now() - warmSinceMillis).toDouble() / carrying.warmupMillis).coerceIn(0.0, 1.0)
 
     /** Switches [fault] on. */
-    public fun switchOn(fault: Fault) {
+    public fun switchOn(fault: ServerFault) {
         faults += ActiveFault(fault, journal.now())
     }
 
     /** Switches [fault] off, or all faults. */
-    public fun switchOff(fault: Fault? = null) {
+    public fun switchOff(fault: ServerFault? = null) {
         if (fault == null) faults.clear() else faults.removeAll { it.fault == fault }
     }
 
@@ -161,17 +161,17 @@
             return
         }
         if (inFlight > limit && overload == OverloadBehaviour.CRASH) stop(connection)
-        if (active<Fault.CrashOnBody>().any { it.marker in call.body }) {
+        if (active<ServerFault.CrashOnBody>().any { it.marker in call.body }) {
             delay(CRASH_DELAY)
             stop(connection)
         }
-        val failure = active<Fault.Fail>().firstOrNull { applies(it, it.scope, call) }
+        val failure = active<ServerFault.Fail>().firstOrNull { applies(it, it.scope, call) }
         if (failure != null) {
             journal.add(ServerEvent.Refused(now(), served, failure.status))
             answer(connection, failure.status, """{"error":"internal"}""")
             return
         }
-        val breaksOff = active<Fault.BreakOff>().any { applies(it, it.scope, call) }
+        val breaksOff = active<ServerFault.BreakOff>().any { applies(it, it.scope, call) }
         run(call, served, connection, breaksOff)
     }
 
@@ -191,7 +191,7 @@
 
     /** Factor on all times of [call]. */
     protected fun slowness(call: BackendCall): Double {
-        val faulty = active<Fault.Slow>().filter { applies(it, it.scope, call) }.maxOfOrNull { it.factor } ?: 1.0
+        val faulty = active<ServerFault.Slow>().filter { applies(it, it.scope, call) }.maxOfOrNull { it.factor } ?: 1.0
         return if (inFlight > limit) faulty * OVERLOAD_FACTOR else faulty
     }
 
@@ -209,10 +209,10 @@
     /** Delivers one part of a stream, late, twice or out of order when such a fault is on. */
     protected suspend fun deliver(connection: ServerConnection, event: BackendEvent) {
         awaitThawed()
-        val late = active<Fault.Late>().maxOfOrNull { it.delayMillis } ?: 0
+        val late = active<ServerFault.Late>().maxOfOrNull { it.delayMillis } ?: 0
         if (late > 0) delay(late.milliseconds)
-        val times = if (event is BackendEvent.Data && active<Fault.Duplicated>().isNotEmpty()) 2 else 1
-        val swaps = event is BackendEvent.Data && active<Fault.OutOfOrder>().isNotEmpty()
+        val times = if (event is BackendEvent.Data && active<ServerFault.Duplicated>().isNotEmpty()) 2 else 1
+        val swaps = event is BackendEvent.Data && active<ServerFault.OutOfOrder>().isNotEmpty()
         repeat(times) { connection.put(event, swaps) }
     }
 
@@ -226,9 +226,9 @@
     /** The path of [call] without its query. */
     protected fun routeOf(call: BackendCall): String = call.path.substringBefore('?')
 
-    private inline fun <reified F : Fault> active(): List<F> = faults.map { it.fault }.filterIsInstance<F>()
+    private inline fun <reified F : ServerFault> active(): List<F> = faults.map { it.fault }.filterIsInstance<F>()
 
-    private fun applies(fault: Fault, scope: FaultScope, call: BackendCall): Boolean {
+    private fun applies(fault: ServerFault, scope: FaultScope, call: BackendCall): Boolean {
         val since = faults.first { it.fault === fault }.sinceMillis
         return journal.now() - since >= scope.afterMillis &&
             inFlight >= scope.minInFlight &&
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/Fault.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/ServerFault.kt
@@ -5,41 +5,41 @@
 
 /** A lasting fault of a stand-in server, switched on and off by tests at any time. */
 @Serializable
-public sealed interface Fault {
+public sealed interface ServerFault {
     /** The process ends when it runs a body that contains [marker]. */
     @Serializable
     @SerialName("crash-on-body")
-    public data class CrashOnBody(val marker: String) : Fault
+    public data class CrashOnBody(val marker: String) : ServerFault
 
     /** Answers with [status] in place of running the call, where [scope] applies. */
     @Serializable
     @SerialName("fail")
-    public data class Fail(val scope: FaultScope = FaultScope(), val status: Int = 500) : Fault
+    public data class Fail(val scope: FaultScope = FaultScope(), val status: Int = 500) : ServerFault
 
     /** Takes [factor] times as long, where [scope] applies. */
     @Serializable
     @SerialName("slow")
-    public data class Slow(val scope: FaultScope = FaultScope(), val factor: Double = 10.0) : Fault
+    public data class Slow(val scope: FaultScope = FaultScope(), val factor: Double = 10.0) : ServerFault
 
     /** The stream or body breaks off in the middle, where [scope] applies. */
     @Serializable
     @SerialName("break-off")
-    public data class BreakOff(val scope: FaultScope = FaultScope()) : Fault
+    public data class BreakOff(val scope: FaultScope = FaultScope()) : ServerFault
 
     /** Each part of an answer arrives [delayMillis] later than it was made. */
     @Serializable
     @SerialName("late")
-    public data class Late(val delayMillis: Long) : Fault
+    public data class Late(val delayMillis: Long) : ServerFault
 
     /** Each part of a stream arrives twice. */
     @Serializable
     @SerialName("duplicated")
-    public data object Duplicated : Fault
+    public data object Duplicated : ServerFault
 
     /** Neighbouring parts of a stream arrive in the wrong order. */
     @Serializable
     @SerialName("out-of-order")
-    public data object OutOfOrder : Fault
+    public data object OutOfOrder : ServerFault
 }
 
 /** When a fault applies: all conditions must hold. */
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/standin/FakeBackendsTest.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/standin/FakeBackendsTest.kt
@@ -88,7 +88,7 @@
             runTest {
                 val scene = Scene(this)
                 val body = FakeText.request("chat", "c1", "why", 21)
-                for (fault in listOf(Fault.Duplicated, Fault.OutOfOrder)) {
+                for (fault in listOf(ServerFault.Duplicated, ServerFault.OutOfOrder)) {
                     scene.backends.server("e1").switchOn(fault)
                     val parts = scene.events("e1", body).filterIsInstance<BackendEvent.Data>()
                         .filter { it.text.startsWith("{") }.map { Json.parseToJsonElement(it.text).jsonObject }
