Check catalogue updates as a whole

Cause: the catalogue had no rules, so an update with a misspelt version or a limit of zero would have come into force. Ruled out: checking change by change in order. An entry and the move to it take force together, so their order in the update must not matter.

--- /dev/null
+++ b/model/src/main/kotlin/org/berylpoint/model/CatalogueFault.kt
@@ -0,0 +1,16 @@
+package org.berylpoint.model
+
+import kotlinx.serialization.Serializable
+
+/** One reason why a catalogue update is refused. */
+@Serializable
+public data class CatalogueFault(
+    /** What the fault is in, as in `entry chat-v1` or `move of chat`. */
+    val subject: String,
+    /** Path of the field, as in `limits.maxInFlight`. */
+    val field: String,
+    val value: String,
+    val expected: String,
+) {
+    override fun toString(): String = "$subject: $field is '$value', expected $expected"
+}
--- /dev/null
+++ b/model/src/main/kotlin/org/berylpoint/model/catalogueChanges.kt
@@ -0,0 +1,38 @@
+package org.berylpoint.model
+
+/** The catalogue after [change], with its version unchanged. */
+internal fun Catalogue.with(change: CatalogueChange): Catalogue = when (change) {
+    is CatalogueChange.PutEntry -> copy(entries = entries + (change.entry.name to change.entry))
+    is CatalogueChange.RetireEntry -> without(change.name)
+    is CatalogueChange.TakeOut -> copy(domainsOut = domainsOut + change.domain)
+    is CatalogueChange.BringBack -> copy(domainsOut = domainsOut - change.domain)
+    is CatalogueChange.MoveTraffic -> withMove(change)
+    is CatalogueChange.EndMove -> withEndOfMove(change)
+}
+
+/** A class without entries has no traffic, so the record of its last move goes with its last entry. */
+private fun Catalogue.without(name: EntryName): Catalogue {
+    val remaining = copy(entries = entries - name)
+    val requestClass = entries[name]?.requestClass ?: return remaining
+    val isLast = remaining.entriesOf(requestClass).isEmpty()
+    return if (isLast) remaining.copy(moves = moves - requestClass) else remaining
+}
+
+private fun Catalogue.withMove(change: CatalogueChange.MoveTraffic): Catalogue {
+    val from = movesFrom(change) ?: return this
+    val move = VersionMove(from, change.to, change.completeByEpochMillis)
+    return copy(moves = moves + (change.requestClass to move))
+}
+
+private fun Catalogue.withEndOfMove(change: CatalogueChange.EndMove): Catalogue {
+    val move = moves[change.requestClass] ?: return this
+    return copy(moves = moves + (change.requestClass to move.copy(state = change.state)))
+}
+
+/** The version that [change] moves traffic away from; without an earlier move, the only other version. */
+internal fun Catalogue.movesFrom(change: CatalogueChange.MoveTraffic): VersionName? =
+    if (change.requestClass in moves) {
+        servingVersion(change.requestClass)
+    } else {
+        entriesOf(change.requestClass).map { it.version }.filter { it != change.to }.distinct().singleOrNull()
+    }
