--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/OnceFilter.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/OnceFilter.kt
@@ -20,7 +20,6 @@
 import org.berylpoint.model.RunState
 import org.berylpoint.peer.AttemptOutcome
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -95,26 +94,25 @@
             ticket: OnceTicket,
             placement: Placement,
             attempt: String,
-        ): Either<Problem, StoredAnswer> =
-            when (val result = wholeCall.run(exchange, placement, attempt, exchange.limits.maxRunMillis.milliseconds)) {
-                is WholeCall.Result.Whole -> {
-                    ticket.finish(result.answer)
-                    result.answer.right()
-                }
-
-                is WholeCall.Result.NotSent -> notRun(ticket, Problem(ErrorKind.NoBackend, result.detail))
-
-                is WholeCall.Result.Broken -> {
-                    ticket.outcomeUnknown()
-                    unknown(result.detail).left()
-                }
-
-                WholeCall.Result.Late -> {
-                    ticket.outcomeUnknown()
-                    unknown("no complete answer within the class's longest run time").left()
-                }
+        ): Either<Problem, StoredAnswer> = when (val result = wholeCall.run(exchange, placement, attempt)) {
+            is WholeCall.Result.Whole -> {
+                ticket.finish(result.answer)
+                result.answer.right()
             }
 
+            is WholeCall.Result.NotSent -> notRun(ticket, Problem(ErrorKind.NoBackend, result.detail))
+
+            is WholeCall.Result.Broken -> {
+                ticket.outcomeUnknown()
+                unknown(result.detail).left()
+            }
+
+            WholeCall.Result.Late -> {
+                ticket.outcomeUnknown()
+                unknown("no complete answer within the class's longest run time").left()
+            }
+        }
+
         private suspend fun notRun(ticket: OnceTicket, problem: Problem): Either<Problem, StoredAnswer> {
             ticket.abandon()
             return problem.left()
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
@@ -4,16 +4,24 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.berylpoint.entry.backend.ListedServer
 import org.berylpoint.entry.backend.ServerDirectory
 import org.berylpoint.entry.judgement.Judge
+import org.berylpoint.entry.ownership.Grant
 import org.berylpoint.entry.ownership.Reservations
 import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.ErrorKind
 import org.berylpoint.model.Problem
 import org.berylpoint.model.ServeRequest
 import org.berylpoint.model.VersionName
+import org.berylpoint.peer.AttemptOutcome
+import org.berylpoint.peer.PeerMessage.Denied
 import org.berylpoint.policy.placement.PrefixAffinity
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -28,6 +36,7 @@
  * are asked, and when all are full the request waits.
  */
 internal class Placer(
+    private val scope: CoroutineScope,
     private val directory: ServerDirectory,
     private val reservations: Reservations,
     private val judge: Judge,
@@ -95,8 +104,10 @@
 
         private suspend fun ask(listed: ListedServer, wait: Duration): Placement? {
             val server = listed.server
-            val asked = reservations.reserve(server, request.id, exchange.remaining, wait, exchange.limits.worth)
-            val grant = asked.getOrElse {
+            val asking = scope.async {
+                reservations.reserve(server, request.id, exchange.remaining, wait, exchange.limits.worth)
+            }
+            val grant = awaitGrant(asking).getOrElse {
                 loads.told(server.id, it.inFlight, it.limit)
                 return null
             }
@@ -104,10 +115,18 @@
             return Placement(listed, grant)
         }
 
+        // When the request goes while its question is on the way, a place that is granted must not be lost.
+        private suspend fun awaitGrant(asking: Deferred<Either<Denied, Grant>>): Either<Denied, Grant> = try {
+            asking.await()
+        } catch (e: CancellationException) {
+            scope.launch { asking.await().onRight { it.release(AttemptOutcome.NOT_SENT) } }
+            throw e
+        }
+
         private fun candidates(): List<ListedServer> {
-            val open = directory.candidates(request.requestClass).filter {
-                it.server.id !in avoid && !loads.isAvoided(it.server.id)
-            }
+            val reachable = directory.candidates(request.requestClass).filterNot { loads.isAvoided(it.server.id) }
+            // Servers where an attempt failed come into question again only when there are no others.
+            val open = reachable.filterNot { it.server.id in avoid }.ifEmpty { reachable }
             val ofVersion = draw(open)
             val preferred = ofVersion.filter { it.server.id == prefer }
             val ordered = PrefixAffinity.order(prefix(), ofVersion - preferred.toSet(), MAX_ASKED) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/WholeCall.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/WholeCall.kt
@@ -1,38 +1,60 @@
 package org.berylpoint.entry.pipeline
 
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.withTimeoutOrNull
 import org.berylpoint.entry.backend.BackendCall
 import org.berylpoint.entry.backend.BackendEvent
 import org.berylpoint.entry.once.StoredAnswer
-import org.berylpoint.model.RequestId
+import org.berylpoint.peer.AttemptOutcome
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
-/** Sends one attempt and collects the whole answer before any of it is given on. */
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Sends one attempt and collects the whole answer before any of it is given on.
+ *
+ * The attempt runs in [scope] to its end, also when nobody waits for the answer any more: a service may go on with a
+ * request whose connection closes, and its place in flight must be counted as long as it does.
+ */
 internal class WholeCall(
+    private val scope: CoroutineScope,
     private val dispatcher: Dispatcher,
     private val waitingRoom: WaitingRoom,
     private val time: TimeSource.WithComparableMarks,
 ) {
-    /** Sends [exchange]'s request within [timeout]; the place of [placement] is given back in any case. */
-    suspend fun run(exchange: Exchange, placement: Placement, attempt: String, timeout: Duration): Result {
+    /** Sends [exchange]'s request; the place of [placement] is given back in any case. */
+    suspend fun run(exchange: Exchange, placement: Placement, attempt: String): Result =
+        scope.async { runToEnd(exchange, placement, attempt) }.await()
+
+    private suspend fun runToEnd(exchange: Exchange, placement: Placement, attempt: String): Result {
         val start = time.markNow()
         val answer = Answer(start)
-        var result: Result? = null
+        val call = callOf(exchange, attempt, exchange.request.body, exchange.remaining)
         try {
-            val call = callOf(exchange, attempt, exchange.request.body, timeout)
-            withTimeoutOrNull(timeout) {
+            withTimeoutOrNull(exchange.limits.maxRunMillis.milliseconds) {
                 dispatcher.send(exchange, placement, call).collect(answer::add)
             }
-            return answer.result().also { result = it }
-        } finally {
-            val end = result?.let { endOf(exchange, it, answer) } ?: AttemptEnd.Abandoned
-            if (end is AttemptEnd.Good || end is AttemptEnd.Slow) {
-                waitingRoom.ran(exchange.request.requestClass, start.elapsedNow())
-            }
-            dispatcher.settle(exchange, placement, attempt, end)
+        } catch (e: CancellationException) {
+            placement.grant.release(AttemptOutcome.CANCELLED)
+            throw e
+        } catch (e: Exception) {
+            // An exception that left this job would end the whole instance, as its scope is the node's.
+            logger.error(e) { "pipeline: attempt $attempt failed" }
+            answer.add(BackendEvent.Broken(sent = true, "unexpected ${e::class.simpleName}"))
+        }
+        val result = answer.result()
+        val end = endOf(exchange, result, answer)
+        if (end is AttemptEnd.Good || end is AttemptEnd.Slow) {
+            waitingRoom.ran(exchange.request.requestClass, start.elapsedNow())
         }
+        dispatcher.settle(exchange, placement, attempt, end)
+        return result
     }
 
     private fun endOf(exchange: Exchange, result: Result, answer: Answer): AttemptEnd = when (result) {
@@ -42,7 +64,7 @@
         is Result.Whole -> answer.end(result.answer.status, exchange.limits.firstByteMillis.milliseconds)
     }
 
-    private class Answer(private val start: kotlin.time.ComparableTimeMark) {
+    private class Answer(private val start: ComparableTimeMark) {
         private var head: BackendEvent.Head? = null
         private val body = StringBuilder()
         private var last: BackendEvent? = null
@@ -111,7 +133,7 @@
 ): BackendCall {
     val request = exchange.request
     return BackendCall(
-        request = RequestId(request.id.value),
+        request = request.id,
         attempt = attempt,
         method = request.method,
         path = request.path,
