--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/JournalEvent.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/JournalEvent.kt
@@ -139,4 +139,8 @@
 
     @Serializable
     public data class DomainBroughtBack(override val atMillis: Long, val domain: String) : SceneEvent
+
+    /** The table service holds a record that the non-idempotent [call] was accepted. */
+    @Serializable
+    public data class RecordedAsAccepted(override val atMillis: Long, val call: String) : SceneEvent
 }
