--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/MemoryCloud.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/MemoryCloud.kt
@@ -17,13 +17,14 @@
 /**
  * The cloud's API in memory: started servers appear on [instances], stopped ones leave it as after a reclaim notice.
  *
- * Two orders with the same token start one server. [launch] makes the server of an order, under an id that is new.
+ * Two orders with the same token start one server. [launch] makes the server of an order, under an id that is new, or
+ * gives null when there is no capacity.
  */
 public class MemoryCloud(
     private val instances: MemoryInstances,
     scope: CoroutineScope? = null,
     public val faults: Faults = Faults(scope),
-    private val launch: (BackendServerId, StartOrder) -> BackendServer = { id, order ->
+    private val launch: (BackendServerId, StartOrder) -> BackendServer? = { id, order ->
         BackendServer(id, order.domain, "http://$id", order.reclaimable)
     },
 ) : CloudApi {
@@ -61,10 +62,11 @@
 
     private fun startNow(order: StartOrder): Either<PlatformError, BackendServerId> = synchronized(lock) {
         started.entries.find { it.key.token == order.token }?.let { return it.value.right() }
-        if (refuseStarts) return PlatformError.Unavailable("no capacity in ${order.domain}").left()
         val id = BackendServerId("${order.entry}-${started.size + 1}")
+        val server = if (refuseStarts) null else launch(id, order)
+        if (server == null) return PlatformError.Unavailable("no capacity in ${order.domain}").left()
         started[order] = id
-        instances.put(order.entry, launch(id, order))
+        instances.put(order.entry, server)
         id.right()
     }
 
