--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeText.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeText.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.contentOrNull
 import kotlinx.serialization.json.intOrNull
@@ -24,7 +25,19 @@
     private val LENGTH = Regex("len:(\\d+)")
 
     /** The prompt of a chat completion request and what was generated of the answer before. */
-    public data class Prompt(val text: String, val generated: String, val maxTokens: Int, val stream: Boolean)
+    public data class Prompt(
+        val text: String,
+        val generated: String,
+        val maxTokens: Int,
+        val stream: Boolean,
+        /** Whether a last chunk with token counts is asked for. */
+        val usage: Boolean,
+        /** Whether each chunk is to have token counts. */
+        val continuousUsage: Boolean,
+    ) {
+        /** Tokens of the prompt without the generated part. */
+        val size: Int get() = text.split(' ').size
+    }
 
     /** Reads a chat completion request; null when it is not one. */
     public fun parse(body: String): Prompt? {
@@ -38,6 +51,8 @@
             generated = if (resumes) messages.last().string("content") else "",
             maxTokens = (root["max_completion_tokens"] ?: root["max_tokens"])?.jsonPrimitive?.intOrNull ?: 4_096,
             stream = root["stream"]?.jsonPrimitive?.booleanOrNull == true,
+            usage = root.option("include_usage"),
+            continuousUsage = root.option("continuous_usage_stats"),
         )
     }
 
@@ -59,6 +74,9 @@
         """{"model":"$model","stream":$stream,"max_tokens":4096,"messages":[""" +
             """{"role":"user","content":"call:$call len:$tokens $content"}]}"""
 
+    private fun JsonObject.option(name: String): Boolean =
+        ((this["stream_options"] as? JsonObject)?.get(name) as? JsonPrimitive)?.booleanOrNull == true
+
     private fun JsonObject.string(name: String): String =
         runCatching { this[name]?.jsonPrimitive?.contentOrNull }.getOrNull().orEmpty()
 }
