Attach heartbeat parts to the membership after it exists

Cause: components that add to heartbeats need the membership's view, so they can't be built before it. Change: Membership.attach in place of a constructor parameter. Measured: the membership tests pass as before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/member/Membership.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/member/Membership.kt
@@ -31,7 +31,8 @@
  *
  * Source of announcements with expiry and explicit leaves: MESH signaling specification, DXOS.
  */
-public class Membership(private val context: NodeContext, private val parts: List<HeartbeatPart>) {
+public class Membership(private val context: NodeContext) {
+    private val parts = mutableListOf<HeartbeatPart>()
     private class Heard(val instance: Instance, val at: ComparableTimeMark)
 
     private val self: Instance = context.self
@@ -44,6 +45,11 @@
     /** The current view; a new value each time a member joins, is suspected, recovers or departs. */
     public val view: StateFlow<MembershipView> = state.asStateFlow()
 
+    /** Lets [part] fill in and read heartbeats from now on; parts need [view], so they come after this object. */
+    public fun attach(part: HeartbeatPart) {
+        parts += part
+    }
+
     /** Starts to send heartbeats. */
     public fun start() {
         context.scope.launch {
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/member/MembershipTest.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/member/MembershipTest.kt
@@ -32,7 +32,7 @@
         val machine = rig.machine(id, FailureDomain("d${machines.size % 4}"))
         val platform = AbsentPlatform
         val context = rig.context(machine, platform, platform, platform, AbsentBackends, listOf("n0:1", "n1:1"))
-        val membership = Membership(context, emptyList())
+        val membership = Membership(context)
         machine.network.serve { _, message -> membership.handle(message) ?: PeerMessage.Refusal("unknown") }
         membership.start()
         machines += machine
