--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/CallFilter.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/CallFilter.kt
@@ -25,19 +25,20 @@
         val tried = HashSet<BackendServerId>()
         var lastAnswer: StoredAnswer? = null
         var lastDetail = "no attempt was made"
-        retries.first()
+        val tries = retries.newRequest()
         while (true) {
             val attempt = exchange.nextAttempt()
             // The error that a server gave is a better answer than that no other attempt can be made.
             judge.permit(exchange.request.fingerprint, attempt).onLeft { return exchange.end(lastAnswer, it) }
-            val placement = placer.place(exchange, avoid = tried).getOrElse { return exchange.end(lastAnswer, it) }
+            val placement = placer.place(exchange, Placer.Wish(tried)).getOrElse { return exchange.end(lastAnswer, it) }
             if (!placement.grant.isUsable()) {
                 placement.grant.release(AttemptOutcome.NOT_SENT)
                 continue
             }
-            when (val result = wholeCall.run(exchange, placement, attempt)) {
+            val result = wholeCall.run(exchange, placement, attempt)
+            when (result) {
                 is WholeCall.Result.Whole -> {
-                    if (!isRetryable(result.answer)) return exchange.answer(result.answer)
+                    if (!isRetryable(result.answer.status)) return exchange.answer(result.answer)
                     lastAnswer = result.answer
                 }
 
@@ -48,7 +49,7 @@
                 WholeCall.Result.Late -> lastDetail = "no complete answer in time"
             }
             tried += placement.server.id
-            if (exchange.remaining <= Duration.ZERO || !retries.tryRetry(exchange, tried.size)) {
+            if (exchange.remaining <= Duration.ZERO || !tries.mayRetry(wasSent = result !is WholeCall.Result.NotSent)) {
                 return exchange.end(lastAnswer, Problem(failureKind(exchange), lastDetail))
             }
         }
@@ -62,14 +63,12 @@
         exchange.reached == RunState.NOT_RUN -> ErrorKind.NoBackend
         else -> ErrorKind.BackendFailed
     }
+}
 
-    private fun isRetryable(answer: StoredAnswer) =
-        answer.status >= WholeCall.SERVER_ERROR || answer.status == TOO_MANY_REQUESTS
+private const val TOO_MANY_REQUESTS = 429
 
-    private companion object {
-        const val TOO_MANY_REQUESTS = 429
-    }
-}
+/** Whether another server may give a better answer than one with [status]. */
+internal fun isRetryable(status: Int): Boolean = status >= WholeCall.SERVER_ERROR || status == TOO_MANY_REQUESTS
 
 /** Gives a whole answer to the caller. */
 internal suspend fun Exchange.answer(answer: StoredAnswer) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Dispatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Dispatcher.kt
@@ -1,6 +1,8 @@
 package org.berylpoint.entry.pipeline
 
+import arrow.core.Either
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.onEach
 import kotlinx.coroutines.launch
@@ -12,6 +14,7 @@
 import org.berylpoint.entry.backend.ServerDirectory
 import org.berylpoint.entry.judgement.EvidenceOutcome
 import org.berylpoint.entry.judgement.Judge
+import org.berylpoint.model.BackendServer
 import org.berylpoint.peer.AttemptOutcome
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -56,9 +59,9 @@
             is AttemptEnd.Failed -> AttemptOutcome.FAILED
             is AttemptEnd.NotSent -> AttemptOutcome.NOT_SENT
             is AttemptEnd.Broken -> afterBreak(exchange, placement, attempt)
-            AttemptEnd.Abandoned -> AttemptOutcome.CANCELLED
+            AttemptEnd.Abandoned, is AttemptEnd.Silent -> AttemptOutcome.CANCELLED
         }
-        placement.grant.release(outcome)
+        if (end is AttemptEnd.Silent) releaseLater(placement, end.hold) else placement.grant.release(outcome)
         when (outcome) {
             AttemptOutcome.COMPLETED -> record(exchange, placement, EvidenceOutcome.GOOD)
 
@@ -74,9 +77,19 @@
         if (outcome == AttemptOutcome.COMPLETED || outcome == AttemptOutcome.SLOW) loads.answered(id)
     }
 
+    /** Whether [server] takes a new connection, and its health if so. */
+    suspend fun probe(server: BackendServer): Either<ProbeFailure, Boolean> = client.probe(server, PROBE_TIMEOUT)
+
+    private fun releaseLater(placement: Placement, hold: Duration) {
+        scope.launch {
+            delay(hold)
+            placement.grant.release(AttemptOutcome.CANCELLED)
+        }
+    }
+
     /** Tells a crash of the server, which the request may have caused, from a break of the connection. */
     private suspend fun afterBreak(exchange: Exchange, placement: Placement, attempt: String): AttemptOutcome {
-        val refused = client.probe(placement.server, PROBE_TIMEOUT).leftOrNull() == ProbeFailure.Refused
+        val refused = probe(placement.server).leftOrNull() == ProbeFailure.Refused
         return when {
             !refused -> AttemptOutcome.FAILED
 
@@ -96,7 +109,7 @@
     private fun record(exchange: Exchange, placement: Placement, outcome: EvidenceOutcome) =
         judge.record(placement.listed.entry, placement.server, routeOf(exchange.request), outcome)
 
-    companion object {
+    private companion object {
         /** Within a failure domain a new connection takes about a millisecond; a second covers a lost packet. */
         val PROBE_TIMEOUT: Duration = 1.seconds
     }
@@ -118,6 +131,12 @@
     /** The connection broke after a byte may have left. */
     data class Broken(val detail: String) : AttemptEnd
 
+    /**
+     * The connection is silent while new ones work. The server may not learn that this one was closed, so the place
+     * counts for [hold], the time that the request would take to its end.
+     */
+    data class Silent(val hold: Duration) : AttemptEnd
+
     /** Given up by this instance or its caller; no fault of the server. */
     data object Abandoned : AttemptEnd
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
@@ -22,7 +22,6 @@
 import org.berylpoint.model.VersionName
 import org.berylpoint.peer.AttemptOutcome
 import org.berylpoint.peer.PeerMessage.Denied
-import org.berylpoint.policy.placement.PrefixAffinity
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -45,19 +44,31 @@
     private val drain: Drain,
     private val random: Random,
 ) {
-    /** A place on a server that is not in [avoid], [prefer] first; a problem when there is none in time. */
-    suspend fun place(
-        exchange: Exchange,
-        avoid: Set<BackendServerId> = emptySet(),
-        prefer: BackendServerId? = null,
-    ): Either<Problem, Placement> {
-        val search = Search(exchange, avoid, prefer)
+    private val rings = ClassRings()
+
+    /** Where a place is wanted. */
+    class Wish(
+        /** Servers where an attempt failed; they come into question again only when there are no others. */
+        val avoid: Set<BackendServerId> = emptySet(),
+        /** The server to ask first. */
+        val prefer: BackendServerId? = null,
+        /** The version that generated the answer so far. */
+        val version: VersionName? = null,
+        /** Whether part of the answer was given: such a request is not refused for a long queue. */
+        val isResume: Boolean = false,
+    )
+
+    /** A place for an attempt; a problem when there is none in time. */
+    suspend fun place(exchange: Exchange, wish: Wish = Wish()): Either<Problem, Placement> {
+        val search = Search(exchange, wish)
         search.tryOnce()?.let { return it.right() }
-        val requestClass = exchange.request.requestClass
-        refusal(exchange)?.let { return it.left() }
-        return waitingRoom.waitIn(requestClass, { it.isRight() }) { search.waitForPlace() }
+        if (!wish.isResume) refusal(exchange)?.let { return it.left() }
+        return waitingRoom.waitIn(exchange.request.requestClass, { it.isRight() }) { search.waitForPlace() }
     }
 
+    /** A place that is free now, if any. */
+    suspend fun tryPlace(exchange: Exchange, wish: Wish): Placement? = Search(exchange, wish).tryOnce()
+
     /** Why waiting is no use, if so. */
     private fun refusal(exchange: Exchange): Problem? {
         val requestClass = exchange.request.requestClass
@@ -73,19 +84,19 @@
         }
     }
 
-    private inner class Search(val exchange: Exchange, val avoid: Set<BackendServerId>, val prefer: BackendServerId?) {
+    private inner class Search(val exchange: Exchange, val wish: Wish) {
         private val request: ServeRequest = exchange.request
-        private var version: VersionName? = null
+        private var version: VersionName? = wish.version
 
         /** Asks the owners of up to [MAX_ASKED] servers without waiting. */
         suspend fun tryOnce(): Placement? = candidates().firstNotNullOfOrNull { ask(it, Duration.ZERO) }
 
         suspend fun waitForPlace(): Either<Problem, Placement> {
-            val floor = waitingRoom.floor(request.requestClass)
+            val floor = if (wish.isResume) Duration.ZERO else waitingRoom.floor(request.requestClass)
             var sinceServer = Duration.ZERO
             while (true) {
                 val left = exchange.remaining - floor
-                if (drain.mustHandOver(floor)) return shuttingDown().left()
+                if (!wish.isResume && drain.mustHandOver(floor)) return shuttingDown().left()
                 val candidates = candidates()
                 val server = candidates.minByOrNull { loads.load(it.server.id) }
                 if (left <= Duration.ZERO) return outOfTime(server != null).left()
@@ -124,32 +135,38 @@
         }
 
         private fun candidates(): List<ListedServer> {
-            val reachable = directory.candidates(request.requestClass).filterNot { loads.isAvoided(it.server.id) }
-            // Servers where an attempt failed come into question again only when there are no others.
-            val open = reachable.filterNot { it.server.id in avoid }.ifEmpty { reachable }
-            val ofVersion = draw(open)
-            val preferred = ofVersion.filter { it.server.id == prefer }
-            val ordered = PrefixAffinity.order(prefix(), ofVersion - preferred.toSet(), MAX_ASKED) {
-                it.server.id.value
-            }
-            val affine = ordered.take(AFFINE)
+            val all = rings.of(request.requestClass, directory.candidates(request.requestClass))
+            val open = { it: ListedServer -> !loads.isAvoided(it.server.id) }
+            val untried = { it: ListedServer -> it.server.id !in wish.avoid && open(it) }
+            return ordered(all, untried).ifEmpty { ordered(all, open) }
+        }
+
+        private fun ordered(all: ClassServers, accept: (ListedServer) -> Boolean): List<ListedServer> {
+            val version = draw(all, accept) ?: return emptyList()
+            val near = all.ring.candidates(prefix(), MAX_ASKED) { it.entry.version == version && accept(it) }
+            val preferred = all.byId[wish.prefer]?.takeIf(accept)
+            val rest = near.filter { it !== preferred }
+            val affine = rest.take(AFFINE)
             val sampled = affine.shuffled(random).take(2).sortedBy { loads.load(it.server.id) }
-            return preferred + sampled + (affine - sampled.toSet()) + ordered.drop(AFFINE)
+            return listOfNotNull(preferred) + sampled + (affine - sampled.toSet()) + rest.drop(AFFINE)
         }
 
         /**
-         * The servers of the version drawn for this request. The draw is kept while that version has servers: with a
-         * new draw at each try, a new version would get more than its share whenever the old one is full.
+         * The version drawn for this request. The draw is kept while that version has servers: with a new draw at each
+         * try, a new version would get more than its share whenever the old one is full.
          */
-        private fun draw(open: List<ListedServer>): List<ListedServer> {
+        private fun draw(all: ClassServers, accept: (ListedServer) -> Boolean): VersionName? {
             val shares = judge.shares(request.requestClass, route())
-            val byVersion = open.groupBy { it.entry.version }.filterKeys { (shares[it] ?: 0.0) > 0.0 }
-            val drawn = version?.takeIf { (shares[it] ?: 0.0) > 0.0 } ?: pick(shares)
+            val drawn = version?.takeIf { (shares[it] ?: 0.0) > 0.0 } ?: pick(shares) ?: return null
             version = drawn
-            val share = shares[drawn] ?: return emptyList()
+            val hasServers = { it: VersionName -> all.byVersion[it].orEmpty().any(accept) }
+            if (hasServers(drawn)) return drawn
             // A version with the larger share has more trust, so it may take over; never the other way round.
-            return byVersion[drawn]
-                ?: byVersion.filterKeys { shares.getValue(it) >= share }.values.firstOrNull().orEmpty()
+            return shares.keys.firstOrNull {
+                it != drawn &&
+                    shares.getValue(it) >= shares.getValue(drawn) &&
+                    hasServers(it)
+            }
         }
 
         private fun pick(shares: Map<VersionName, Double>): VersionName? {
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Retries.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Retries.kt
@@ -1,21 +1,36 @@
 package org.berylpoint.entry.pipeline
 
-import org.berylpoint.model.RunState
 import org.berylpoint.policy.retry.RetryBudget
 import kotlin.time.TimeSource
 
-/** The retry budget of this instance and the bound on attempts of one request. */
+/** The retry budget that all requests of this instance share. */
 internal class Retries(private val time: TimeSource.WithComparableMarks) {
     private val budget = RetryBudget()
 
-    fun first() = budget.first(time.markNow())
+    /** Counts a request's first attempt. */
+    fun newRequest(): Tries {
+        budget.first(time.markNow())
+        return Tries()
+    }
+
+    /** The attempts of one request. */
+    inner class Tries {
+        private var sent = 1
+        private var unsent = 0
 
-    /** Whether another attempt may follow [made] attempts. One that reached no server costs no budget. */
-    fun tryRetry(exchange: Exchange, made: Int): Boolean =
-        made < MAX_ATTEMPTS && (exchange.reached == RunState.NOT_RUN || budget.tryRetry(time.markNow()))
+        /**
+         * Whether another attempt may follow one that failed. An attempt of which no byte was sent has put no load on a
+         * server and costs no budget.
+         */
+        fun mayRetry(wasSent: Boolean): Boolean =
+            if (wasSent) sent++ < MAX_SENT && budget.tryRetry(time.markNow()) else unsent++ < MAX_UNSENT
+    }
 
     private companion object {
         /** Attempts of one request, so that a request that always fails doesn't use up the budget alone. */
-        const val MAX_ATTEMPTS = 4
+        const val MAX_SENT = 4
+
+        /** Dead servers that one request meets; each is avoided by all requests afterwards. */
+        const val MAX_UNSENT = 16
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/ServingPipeline.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/ServingPipeline.kt
@@ -14,6 +14,8 @@
 import org.berylpoint.entry.once.OnceRegistry
 import org.berylpoint.entry.ownership.Reservations
 import org.berylpoint.entry.stream.StreamFilter
+import org.berylpoint.entry.stream.StreamParts
+import org.berylpoint.entry.stream.Ticks
 import org.berylpoint.model.AnswerEvent
 import org.berylpoint.model.ErrorKind
 import org.berylpoint.model.Problem
@@ -45,7 +47,17 @@
     private val dispatcher = Dispatcher(node.backends, directory, judge, loads, node.scope)
     private val wholeCall = WholeCall(node.scope, dispatcher, waitingRoom, node.time)
     private val calls = CallFilter(placer, wholeCall, judge, retries)
-    private val streams = StreamFilter(placer, dispatcher, judge, retries)
+    private val streamParts = StreamParts(
+        placer,
+        dispatcher,
+        node.backends,
+        directory,
+        judge,
+        retries,
+        waitingRoom,
+        node.time,
+    ) { catalogue.current.value }
+    private val streams = StreamFilter(streamParts, Ticks(node.scope))
     private val onces = OnceFilter(node.scope, once, placer, wholeCall, judge, drain)
     private val idempotent = Filter {
         if (it.request.kind ==
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/stream/ChunkOrder.kt
@@ -0,0 +1,45 @@
+package org.berylpoint.entry.stream
+
+/**
+ * Puts the chunks of one attempt in order: each position once, duplicates and chunks of other answers dropped, early
+ * ones held until those before them have come.
+ */
+internal class ChunkOrder(private val attempt: String) {
+    private var next = 0
+    private var id: String? = null
+    private val held = ArrayList<ChatChunk>()
+    private val unplaced = ArrayList<ChatChunk>()
+
+    /** Whether chunks wait for an earlier one. */
+    val hasGap: Boolean get() = held.isNotEmpty()
+
+    /** Whether more chunks are held than an engine's reordering explains. */
+    val isOverfull: Boolean get() = held.size > MAX_HELD
+
+    /** Takes in [chunk] and gives the chunks that are now in order. */
+    fun accept(chunk: ChatChunk): List<ChatChunk> {
+        if (chunk.attempt != null && chunk.attempt != attempt) return emptyList()
+        if (id == null) id = chunk.id
+        if (chunk.id != id) return emptyList()
+        if (chunk.place == null) unplaced += chunk else held += chunk
+        val ready = generateSequence(::takeNext).toList()
+        // A chunk without a position, such as the one with the finish reason, must not overtake one that is missing.
+        return if (hasGap) ready else ready + unplaced.toList().also { unplaced.clear() }
+    }
+
+    private fun takeNext(): ChatChunk? {
+        held.removeAll { isBehind(it.place!!) }
+        val ready = held.filter { it.place!!.first == next }.minByOrNull { it.place!!.last } ?: return null
+        held -= ready
+        next = maxOf(next, ready.place!!.last + 1)
+        return ready
+    }
+
+    // A chunk that overlaps what was passed on can't be cut, because its tokens are not told apart in its text. It is
+    // dropped; the gap that it leaves ends the attempt, and a resume fills it.
+    private fun isBehind(place: IntRange) = place.first < next
+
+    private companion object {
+        const val MAX_HELD = 256
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/stream/StreamParts.kt
@@ -0,0 +1,30 @@
+package org.berylpoint.entry.stream
+
+import org.berylpoint.entry.backend.BackendClient
+import org.berylpoint.entry.backend.ServerDirectory
+import org.berylpoint.entry.judgement.Judge
+import org.berylpoint.entry.pipeline.Dispatcher
+import org.berylpoint.entry.pipeline.Placer
+import org.berylpoint.entry.pipeline.Retries
+import org.berylpoint.entry.pipeline.WaitingRoom
+import org.berylpoint.model.Catalogue
+import org.berylpoint.model.RequestClass
+import org.berylpoint.policy.migration.AnswerLengths
+import kotlin.time.TimeSource
+
+/** What all streams of an instance share. */
+internal class StreamParts(
+    val placer: Placer,
+    val dispatcher: Dispatcher,
+    val client: BackendClient,
+    val directory: ServerDirectory,
+    val judge: Judge,
+    val retries: Retries,
+    val waitingRoom: WaitingRoom,
+    val time: TimeSource.WithComparableMarks,
+    val catalogue: () -> Catalogue?,
+) {
+    private val lengths = HashMap<RequestClass, AnswerLengths>()
+
+    fun lengths(requestClass: RequestClass): AnswerLengths = lengths.getOrPut(requestClass) { AnswerLengths() }
+}
