--- a/entry/src/main/kotlin/org/berylpoint/entry/http/CallerAnswer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/CallerAnswer.kt
@@ -1,8 +1,12 @@
 package org.berylpoint.entry.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.http.Context
 import org.berylpoint.model.AnswerEvent
 import org.berylpoint.model.ServeRequest
+import java.io.IOException
+
+private val logger = KotlinLogging.logger {}
 
 /** Writes one answer to a caller; blocks while the caller's socket buffer is full. */
 internal class CallerAnswer(private val context: Context, private val request: ServeRequest) {
@@ -29,6 +33,17 @@
         if (headWritten) output.flush()
     }
 
+    /** Ends the connection, so that the caller doesn't take what it has for the whole answer. */
+    fun abort() {
+        try {
+            response.sendError(ABORT)
+        } catch (e: IOException) {
+            logger.debug { "http: the connection of ${request.id} has ended: ${e.message}" }
+        } catch (e: IllegalStateException) {
+            logger.debug { "http: the connection of ${request.id} has ended: ${e.message}" }
+        }
+    }
+
     private fun head(status: Int, contentType: String) {
         response.status = status
         response.contentType = contentType
@@ -51,10 +66,14 @@
 
             events -> print("event: error\ndata: $body\n\n")
 
-            // Part of a body is out; ending the connection early is all that tells the caller.
-            else -> error("the answer to ${request.id} broke off: ${event.problem.detail}")
+            else -> abort()
         }
     }
 
+    private companion object {
+        /** Jetty's status for ending the connection in place of an answer. */
+        const val ABORT = -1
+    }
+
     private fun print(text: String) = output.write(text.toByteArray())
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/CallerServer.kt
@@ -10,13 +10,18 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ChannelResult
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.produceIn
-import kotlinx.coroutines.future.future
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
@@ -28,6 +33,7 @@
 import org.berylpoint.model.RequestId
 import org.berylpoint.model.ServeRequest
 import java.io.IOException
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.TimeSource
 
@@ -52,6 +58,8 @@
     private val decoder = RequestDecoder(limits, time) { catalogue.current.value }
     private val writers: CoroutineDispatcher = Dispatchers.IO.limitedParallelism(limits.writers)
     private val nextId = AtomicLong()
+    private val answering = SupervisorJob(scope.coroutineContext.job)
+    private val answers = scope + answering
 
     private val javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
@@ -80,6 +88,8 @@
 
     /** Stops accepting and closes all connections; the pipeline is drained before. */
     override fun close() {
+        // Answers must not be written while Jetty takes their connections away.
+        runBlocking { answering.cancelAndJoin() }
         javalin.stop()
     }
 
@@ -95,9 +105,7 @@
         val raw = RawRequest(context.method().name, target, context::header, body)
         decode(id, raw).fold(
             { refuse(context, id, it) },
-            { request ->
-                context.future { scope.future { answer(context, request) } }
-            },
+            { request -> context.future { answer(context, request) } },
         )
     }
 
@@ -111,12 +119,25 @@
         context.status(problem.kind.status).contentType(PROBLEM_JSON).result(problem.toJson(id))
     }
 
-    private suspend fun answer(context: Context, request: ServeRequest) {
+    /** Writes the answer; the future always ends without an error, because Javalin could only log it. */
+    private fun answer(context: Context, request: ServeRequest): CompletableFuture<Unit> {
+        val answer = CallerAnswer(context, request)
+        val done = CompletableFuture<Unit>()
+        answers.launch { write(answer, request) }.invokeOnCompletion { cause ->
+            if (cause != null) answer.abort()
+            done.complete(Unit)
+        }
+        return done
+    }
+
+    private suspend fun write(answer: CallerAnswer, request: ServeRequest) {
         try {
-            val answer = CallerAnswer(context, request)
             if (request.stream) writeStream(answer, pipeline.serve(request)) else writeWhole(answer, request)
         } catch (e: IOException) {
             logger.debug { "http: the caller of ${request.id} has gone: ${e.message}" }
+        } catch (e: IllegalStateException) {
+            // Jetty ends the request of a broken connection on its own thread, at any time.
+            logger.debug { "http: the connection of ${request.id} has ended: ${e.message}" }
         }
     }
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/http/CallerServerTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/http/CallerServerTest.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -11,6 +12,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -35,6 +37,8 @@
 import org.berylpoint.model.InstanceId
 import org.berylpoint.model.Problem
 import org.berylpoint.model.ServeRequest
+import java.io.IOException
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
@@ -86,6 +90,43 @@
             }
         }
 
+        test("`CallerServer` breaks the connection of a body that can't be completed; guards against short answers") {
+            val pipeline = Pipeline {
+                flow {
+                    emit(AnswerEvent.Head(200, "text/plain"))
+                    emit(AnswerEvent.Data("half"))
+                    emit(AnswerEvent.Failed(Problem(ErrorKind.BackendFailed, "gone")))
+                }
+            }
+            withServer(pipeline) { url ->
+                shouldThrow<IOException> {
+                    client.post("$url/v1/chat/completions", CHAT).use { it.body.string() }
+                }
+            }
+        }
+
+        test("`CallerServer` that closes breaks the connections of running answers") {
+            val started = CompletableDeferred<Unit>()
+            val answer = CompletableDeferred<Result<String>>()
+            val pipeline = Pipeline {
+                flow {
+                    started.complete(Unit)
+                    awaitCancellation()
+                }
+            }
+            withServer(pipeline) { url ->
+                thread {
+                    answer.complete(
+                        runCatching {
+                            client.post("$url/v1/chat/completions", CHAT).use { it.body.string() }
+                        },
+                    )
+                }
+                started.await()
+            }
+            answer.await().isFailure shouldBe true
+        }
+
         test("`CallerServer` passes the path below the class, and the whole answer, through unchanged") {
             lateinit var seen: ServeRequest
             val pipeline = Pipeline {
