--- a/entry/src/main/kotlin/org/berylpoint/entry/once/OnceRegistry.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/once/OnceRegistry.kt
@@ -24,7 +24,19 @@
 
 /** The record of one accepted non-idempotent request, held by this instance. */
 public interface OnceTicket {
-    /** Records the dispatch to [server]; the request may be sent only if this succeeds, and only once. */
+    /**
+     * Whether another instance may still run the request. Then `not-run` must not be answered, not even when no byte
+     * was sent from here: the release of the key has no confirmation yet, or another instance has taken it over.
+     */
+    public val mayRunElsewhere: Boolean get() = false
+
+    /**
+     * Records the dispatch to [server]; the request may be sent only if this succeeds, and only once. While no byte of
+     * it was sent, another server may be recorded by a further call.
+     *
+     * Fails with `OutcomeUnknown` when another instance has taken the request over; [OnceRegistry.begin] then waits
+     * for its answer.
+     */
     public suspend fun dispatch(server: BackendServerId): Either<Problem, Unit>
 
     /** Stores the answer for repeats, retrying in the background; returns when it is stored or after a bound. */
