--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeServer.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeServer.kt
@@ -40,6 +40,11 @@
     private val faults = mutableListOf<ActiveFault>()
     private val running = LinkedHashMap<ServerConnection, ServedCall>()
     private val frozen = MutableStateFlow(false)
+    private var silenceNextAfter: Int? = null
+
+    /** Called when the process ends. */
+    internal var onStop: () -> Unit = {}
+
     private var warmSinceMillis: Long = if (startsWarm) journal.now() - carrying.warmupMillis else journal.now()
 
     /** Whether a process listens at the address. */
@@ -108,8 +113,6 @@
         silenceNextAfter = parts
     }
 
-    private var silenceNextAfter: Int? = null
-
     /** Whether the process would answer a health check now; waits while it is frozen. */
     public suspend fun health(): Boolean {
         awaitThawed()
@@ -247,6 +250,7 @@
             connection.close()
         }
         broken.keys.forEach { it.job?.cancel() }
+        onStop()
         if (cause != null) throw CancellationException("the process ended")
     }
 
