Judge versions by sequential tests on paired outcomes

Cause: a new version is to be judged with stated error rates (false alarm 1%, miss 5%) while overload and bad links hit both versions.

--- /dev/null
+++ b/policy/src/test/kotlin/org/berylpoint/policy/judgement/VersionTrialTest.kt
@@ -0,0 +1,150 @@
+package org.berylpoint.policy.judgement
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import org.berylpoint.model.FailureDomain
+import kotlin.random.Random
+
+class VersionTrialTest :
+    FunSpec({
+        // Rates of bad outcomes of the old and the new version, and whether the version is bad.
+        val cases = listOf(
+            Case("both faultless", 0.0, 0.0),
+            Case("both with rare faults", 0.01, 0.01),
+            Case("both overloaded", 0.4, 0.4),
+            Case("new fails always", 0.001, 1.0, isBad = true),
+            Case("new fails often", 0.01, 0.3, isBad = true),
+            Case("new worse by the margin", 0.01, 0.11, isBad = true),
+            Case("new worse by the margin under overload", 0.3, 0.4, isBad = true),
+        )
+        for (case in cases) {
+            test("50 seeds keep the stated error rates: ${case.name}") {
+                val runs = (1..SEEDS).map { case.run(it) }
+                val wrong = runs.count { (it.first is Finding.Bad) != case.isBad }
+                val kind = if (case.isBad) "miss" else "false alarm"
+                val median = runs.map { it.second }.sorted()[SEEDS / 2]
+                println("${case.name}: $kind rate ${wrong.toDouble() / SEEDS}, median $median new outcomes")
+                runs.count { it.first == Finding.Open } shouldBe 0
+                // With a rate of 1% (5%), more than 3 (7) of 50 has a probability below 0.2% (0.2%).
+                wrong shouldBeLessThanOrEqual (if (case.isBad) 7 else 3)
+            }
+        }
+
+        test("a fault on one route of many is found there though most requests are good") {
+            val runs = (1..SEEDS).map { seed ->
+                val random = Random(seed)
+                val trial = VersionTrial(ErrorRates(), random)
+                val routes = listOf("/a", "/b", "/c", "/d", "/e")
+                var finding: Finding = Finding.Open
+                var step = 0L
+                while (finding == Finding.Open && step < 5_000) {
+                    val route = routes.random(random)
+                    val rate = if (route == "/d") 0.8 else 0.01
+                    finding = trial.add(mapOf(at(route) to draw(random, rate, 0.01)), step++ * 100)
+                }
+                finding
+            }
+            println("one bad route: found on the route in ${runs.count { it == Finding.Bad("/d") }} of $SEEDS")
+            runs.count { it !is Finding.Bad } shouldBeLessThanOrEqual 7
+        }
+
+        test("a fault of a link is put down to the link and not to the version") {
+            val runs = (1..SEEDS).map { seed ->
+                val random = Random(seed)
+                val trial = VersionTrial(ErrorRates(), random)
+                val links = LinkTrial(ErrorRates(), random)
+                var faulty = emptySet<Pair<FailureDomain, FailureDomain>>()
+                var finding: Finding = Finding.Open
+                repeat(400) { step ->
+                    val outcomes = listOf("x" to 0.7, "y" to 0.01, "z" to 0.01).associate { (to, rate) ->
+                        at("/a", to) to draw(random, rate, rate)
+                    }
+                    if (finding !is Finding.Bad) finding = trial.add(outcomes, step * 100L)
+                    faulty = links.add(outcomes.mapValues { it.value.old }, step * 100L)
+                }
+                finding to faulty
+            }
+            val blamed = runs.count { it.first is Finding.Bad }
+            val found = runs.count { it.second == setOf(FailureDomain("m") to FailureDomain("x")) }
+            println("bad link: version blamed in $blamed, exactly the link found in $found of $SEEDS")
+            blamed shouldBeLessThanOrEqual 3
+            (SEEDS - found) shouldBeLessThanOrEqual 7
+        }
+
+        test("a fault before the new version's servers are warm alarms, a clean record does not accept") {
+            val random = Random(1)
+            val clean = VersionTrial(ErrorRates(), random)
+            repeat(1_000) { clean.add(mapOf(at("/a") to draw(random, 0.0, 0.0)), it * 100L, counts = false) }
+            clean.finding() shouldBe Finding.Open
+            val faulty = VersionTrial(ErrorRates(), random)
+            repeat(40) { faulty.add(mapOf(at("/a") to draw(random, 1.0, 0.0)), it * 100L, counts = false) }
+            faulty.finding() shouldBe Finding.Bad(null)
+        }
+
+        test("pairing uses each outcome once and never invents a bad one") {
+            checkAll(PropTestConfig(seed = 4711), Arb.int(0..50), Arb.int(0..50), Arb.int(0..50), Arb.int(0..50)) {
+                    newGood,
+                    newBad,
+                    oldGood,
+                    oldBad,
+                ->
+                val pairs = PairedOutcomes(Random(newGood + 31 * oldBad)).add(
+                    Outcomes(newGood.toLong(), newBad.toLong()),
+                    Outcomes(oldGood.toLong(), oldBad.toLong()),
+                    0,
+                )
+                pairs.total shouldBe minOf(newGood + newBad, oldGood + oldBad)
+                pairs.newBad shouldBeLessThanOrEqual minOf(newBad, oldGood)
+                pairs.oldBad shouldBeLessThanOrEqual minOf(oldBad, newGood)
+            }
+        }
+
+        test("the canary share never lets the known share pass the bound") {
+            val random = Random(7)
+            var new = 0L
+            var old = 0L
+            repeat(100_000) {
+                if (random.nextDouble() < CanaryShare.before(new, old)) new++ else old++
+                if (new > 0) new.toDouble() / (new + old) shouldBeLessThanOrEqual CanaryShare.BOUND
+            }
+        }
+
+        test("the stages reach the last share by the set time without evidence") {
+            val stages = MoveStages(minMillis = 10_000)
+            listOf(60_000L to -1, 30_000L to -1, 29_999L to 0, 20_000L to 1, 10_000L to 2, 0L to 3).forEach {
+                stages.latest(it.first) shouldBe it.second
+            }
+        }
+    }) {
+    private class Case(val name: String, val old: Double, val new: Double, val isBad: Boolean = false) {
+        /** Finding and number of new outcomes it took. */
+        fun run(seed: Int): Pair<Finding, Int> {
+            val random = Random(seed)
+            val trial = VersionTrial(ErrorRates(), random)
+            for (step in 1..5_000) {
+                val finding = trial.add(mapOf(at("/a") to draw(random, new, old)), step * 100L)
+                if (finding != Finding.Open) return finding to step
+            }
+            return Finding.Open to 5_000
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 50
+
+        fun at(route: String, to: String = "x") = Stratum(route, FailureDomain("m"), FailureDomain(to))
+
+        /** One new outcome and nineteen old ones. */
+        fun draw(random: Random, new: Double, old: Double): StratumOutcomes {
+            val newBad = if (random.nextDouble() < new) 1L else 0L
+            val oldBad = (1..19).count { random.nextDouble() < old }.toLong()
+            return StratumOutcomes(Outcomes(1 - newBad, newBad), Outcomes(19 - oldBad, oldBad))
+        }
+    }
+}
