--- a/entry/src/main/kotlin/org/berylpoint/entry/judgement/Judge.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/judgement/Judge.kt
@@ -24,6 +24,9 @@
 
     /** Notes that [attempt] crashed a backend server; it counts for no version. */
     public fun crashed(fingerprint: Fingerprint, attempt: String)
+
+    /** Notes that a permitted attempt ended without a crash, or was never sent. */
+    public fun finished(fingerprint: Fingerprint, attempt: String) {}
 }
 
 /** How an attempt counts as evidence. */
