Give no age bound for the content of received heartbeat requests

Cause: a heartbeat request that waited in the buffers of a frozen process was handled after the thaw with an assumed age of 1 s, so a digest of an old domain epoch counted as a fresh proof of it. Ruled out: a guard in each component (every reader of ages would need one). Change: only the content of answers has a measured age; requests are passed on with a very large one. The members' own liveness is still taken from both. Measured: the membership tests of testkit pass as before. Conclusion: ages given to HeartbeatPart.receive are upper bounds again.

--- a/entry/src/main/kotlin/org/berylpoint/entry/member/HeartbeatPart.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/member/HeartbeatPart.kt
@@ -7,6 +7,9 @@
     /** Returns [heartbeat] with this component's fields filled in. */
     public fun fill(heartbeat: Heartbeat): Heartbeat
 
-    /** Takes in the fields of a peer's heartbeat; [ageMillis] bounds how long ago the peer filled it in. */
+    /**
+     * Takes in the fields of a peer's heartbeat; [ageMillis] bounds how long ago the peer filled it in. Only the age
+     * of an answer is known; that of a request is given as a very large number.
+     */
     public fun receive(heartbeat: Heartbeat, ageMillis: Long)
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/member/Membership.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/member/Membership.kt
@@ -58,7 +58,8 @@
     /** Answers a heartbeat or a leave of a peer. */
     public fun handle(message: PeerMessage): PeerMessage? = when (message) {
         is Heartbeat -> {
-            receive(message, HEARTBEAT_TIMEOUT.inWholeMilliseconds)
+            // The request may have waited in this process's buffers for as long as the process was frozen.
+            receive(message, HEARTBEAT_TIMEOUT.inWholeMilliseconds, UNBOUNDED_AGE_MILLIS)
             heartbeat()
         }
 
@@ -135,13 +136,13 @@
         return parts.fold(plain) { beat, part -> part.fill(beat) }
     }
 
-    private fun receive(beat: Heartbeat, ageMillis: Long) {
+    private fun receive(beat: Heartbeat, ageMillis: Long, boundMillis: Long = ageMillis) {
         if (beat.sender.id in departed) return
         beat.departed.forEach { confirmGone(it) }
         note(beat.sender, Duration.ZERO)
         beat.members.forEach { note(it.instance, (it.ageMillis + ageMillis).milliseconds) }
         refresh()
-        parts.forEach { it.receive(beat, ageMillis) }
+        parts.forEach { it.receive(beat, boundMillis) }
     }
 
     private fun note(instance: Instance, age: Duration) {
@@ -189,5 +190,8 @@
         private const val OTHER_FANOUT = 2
         private const val SEEDS_PER_INTERVAL = 2
         private const val SAMPLE = 12
+
+        // Half of the range, so that adding an age to it does not overflow.
+        private const val UNBOUNDED_AGE_MILLIS = Long.MAX_VALUE / 2
     }
 }
