--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -0,0 +1,78 @@
+package org.berylpoint.entry.node
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.versionOption
+import com.github.ajalt.clikt.parameters.types.file
+import kotlinx.coroutines.runBlocking
+import org.berylpoint.entry.settings.NodeSettings
+import java.io.File
+import java.util.concurrent.CountDownLatch
+
+/** The command line of an entry instance. */
+internal class BerylpointCommand : CliktCommand(name = "berylpoint") {
+    init {
+        versionOption(VERSION)
+        subcommands(RunCommand(), CheckCommand())
+    }
+
+    override fun help(context: Context): String = """
+        An entry instance of Berylpoint.
+
+        Exit codes: 0 after a graceful stop or a clean check, 1 for faults in the settings, 2 for wrong usage.
+    """.trimIndent()
+
+    override fun run() = Unit
+
+    private companion object {
+        const val VERSION = "0.1.0"
+    }
+}
+
+/** Runs until SIGTERM, then stops gracefully. */
+private class RunCommand : CliktCommand(name = "run") {
+    private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
+
+    override fun help(context: Context): String = "Runs an entry instance. Example: berylpoint run --settings entry.ini"
+
+    override fun run() {
+        val process = EntryProcess(readSettings(settings))
+        runBlocking { process.start() }
+        val stopped = CountDownLatch(1)
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                runBlocking { process.stop() }
+                stopped.countDown()
+            },
+        )
+        stopped.await()
+    }
+}
+
+/** Checks a settings file and talks to nothing. */
+private class CheckCommand : CliktCommand(name = "check") {
+    private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
+
+    override fun help(context: Context): String =
+        "Checks a settings file without contacting anything. Example: berylpoint check --settings entry.ini"
+
+    override fun run() {
+        readSettings(settings)
+        echo("$settings: no faults")
+    }
+}
+
+private fun CliktCommand.readSettings(file: File): NodeSettings = NodeSettings.read(file).fold(
+    ifLeft = { faults ->
+        faults.forEach { echo(it.toString(), err = true) }
+        throw ProgramResult(1)
+    },
+    ifRight = { it },
+)
+
+public fun main(args: Array<String>): Unit = BerylpointCommand().main(args)
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/EntryProcess.kt
@@ -0,0 +1,115 @@
+package org.berylpoint.entry.node
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.withContext
+import org.berylpoint.entry.http.CallerServer
+import org.berylpoint.entry.http.HttpBackendClient
+import org.berylpoint.entry.http.HttpLimits
+import org.berylpoint.entry.settings.NodeSettings
+import org.berylpoint.entry.settings.ServiceSettings
+import org.berylpoint.model.Instance
+import org.berylpoint.peer.KtorPeerNetwork
+import org.berylpoint.peer.PeerHandler
+import org.berylpoint.peer.PeerNetwork
+import org.berylpoint.peer.SharedKeys
+import org.berylpoint.platform.http.ComputeClient
+import org.berylpoint.platform.http.HttpObjectStore
+import org.berylpoint.platform.http.HttpTableService
+import org.berylpoint.platform.http.HttpTransport
+import java.security.SecureRandom
+import kotlin.random.Random
+import kotlin.random.asKotlinRandom
+import kotlin.time.Clock
+import kotlin.time.ExperimentalTime
+import kotlin.time.TimeSource
+
+private val log = KotlinLogging.logger {}
+
+/** One entry instance as a process: an [EntryNode] over sockets, HTTP clients and the system clocks. */
+@OptIn(ExperimentalCoroutinesApi::class, ExperimentalTime::class)
+public class EntryProcess(private val settings: NodeSettings) {
+    private val failures = CoroutineExceptionHandler { _, e -> log.error(e) { "node: a background task failed" } }
+    private val dispatcher = Dispatchers.Default.limitedParallelism(1)
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher + failures)
+    private val sockets = CoroutineScope(SupervisorJob() + Dispatchers.IO + failures)
+    private val time = TimeSource.Monotonic
+
+    private val self = Instance(
+        settings.instance.uniqueId(Random(SecureRandom().nextLong()).nextInt(SUFFIXES).toString(SUFFIX_RADIX)),
+        settings.instance.failureDomain,
+        settings.instance.peerAddress.toString(),
+    )
+    private val peers = KtorPeerNetwork(
+        self.id,
+        self.peerAddress,
+        SharedKeys(settings.peers.currentKey.reveal(), settings.peers.previousKey?.reveal()),
+        sockets,
+        time,
+    )
+    private val backends = HttpBackendClient()
+    private val platform = settings.platform
+    private val context = NodeContext(
+        self = self,
+        scope = scope,
+        time = time,
+        wallClock = Clock.System,
+        random = SecureRandom().asKotlinRandom(),
+        peers = OnNode(peers),
+        table = HttpTableService(platform.table.transport(), platform.tableName),
+        objects = HttpObjectStore(platform.objects.transport(), platform.bucket),
+        instances = ComputeClient(
+            platform.instances.transport(),
+            platform.project,
+            platform.zones.ifEmpty { listOf(self.failureDomain) },
+            Clock.System,
+        ),
+        backends = backends,
+        seeds = settings.peers.seeds.map { it.toString() },
+    )
+    private val node = EntryNode(context)
+    private val limits = HttpLimits(
+        maxBodyBytes = settings.limits.bodyBytes,
+        maxHeaderBytes = settings.limits.headerBytes,
+    )
+    private val callers = CallerServer(self.id, sockets, time, node.catalogue, node.pipeline, limits)
+
+    /** Starts all listeners and components. */
+    public suspend fun start() {
+        log.info { "node: ${self.id} in ${self.failureDomain} starts" }
+        withContext(dispatcher) { node.start(context) }
+        peers.listen()
+        callers.start(settings.instance.callerAddress.host, settings.instance.callerAddress.port)
+    }
+
+    /** Stops gracefully: see [EntryNode.stop]. */
+    public suspend fun stop() {
+        log.info { "node: ${self.id} stops, ${node.inFlight} requests in flight" }
+        withContext(dispatcher) { node.stop(settings.instance.drain) }
+        callers.close()
+        peers.close()
+        backends.close()
+        scope.cancel()
+        sockets.cancel()
+        log.info { "node: ${self.id} has stopped" }
+    }
+
+    private fun ServiceSettings.transport() = HttpTransport(address, self.id, timeout)
+
+    /** Passes the peers' messages on to the dispatcher that all components of the node run on. */
+    private inner class OnNode(private val network: PeerNetwork) : PeerNetwork by network {
+        override fun serve(handler: PeerHandler) = network.serve { from, message ->
+            withContext(dispatcher) { handler.handle(from, message) }
+        }
+    }
+
+    private companion object {
+        const val SUFFIXES = 36 * 36 * 36 * 36
+        const val SUFFIX_RADIX = 36
+    }
+}
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/NodeContext.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/NodeContext.kt
@@ -33,4 +33,8 @@
     public val backends: BackendClient,
     /** Peer addresses from the settings, tried until the first peer answers and now and then later. */
     public val seeds: List<String>,
-)
+) {
+    /** The same context with another way to the table service. */
+    public fun withTable(table: TableService): NodeContext =
+        NodeContext(self, scope, time, wallClock, random, peers, table, objects, instances, backends, seeds)
+}
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/OnceFilter.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/OnceFilter.kt
@@ -40,16 +40,22 @@
         val work = Work(exchange)
         val running = scope.async { drain.track { work.run() } }
         val result = withTimeoutOrNull(exchange.remaining) { running.await() }
-            ?: (if (work.mayBeDispatched) unknown("no answer within the deadline") else late()).left()
+            ?: (if (work.mayHaveRun) unknown("no answer within the deadline") else late()).left()
         result.fold({ exchange.fail(it) }, { exchange.answer(it) })
     }
 
-    private inner class Work(val exchange: Exchange) {
-        /** Set before the record of the dispatch is written; nothing is dispatched after the deadline unless set. */
-        var mayBeDispatched = false
+    /** Runs a request that another instance accepted, under its record; there is no caller to answer. */
+    suspend fun runHeld(exchange: Exchange, ticket: OnceTicket): Unit = drain.track { Work(exchange).run(ticket) }
 
-        suspend fun run(): Either<Problem, StoredAnswer> = try {
-            decide()
+    private inner class Work(val exchange: Exchange) {
+        /**
+         * Whether a request with this key may have run. Until the record is read, an earlier request may have; then
+         * it is false, up to the moment before the record of the dispatch is written.
+         */
+        var mayHaveRun = true
+
+        suspend fun run(held: OnceTicket? = null): Either<Problem, StoredAnswer> = try {
+            if (held == null) decide() else runOnce(held)
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
@@ -66,6 +72,7 @@
             }
 
         private suspend fun runOnce(ticket: OnceTicket): Either<Problem, StoredAnswer> {
+            mayHaveRun = false
             val attempt = exchange.nextAttempt()
             val placement = either {
                 judge.permit(exchange.request.fingerprint, attempt).bind()
@@ -84,7 +91,7 @@
         }
 
         private suspend fun store(ticket: OnceTicket, placement: Placement): Problem? {
-            mayBeDispatched = true
+            mayHaveRun = true
             val problem = ticket.dispatch(placement.server.id).leftOrNull()
             val expired = Problem(ErrorKind.Overloaded, "the place expired before the dispatch was stored")
             return problem ?: expired.takeUnless { placement.grant.isUsable() }
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/ServingPipeline.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/ServingPipeline.kt
@@ -12,6 +12,7 @@
 import org.berylpoint.entry.judgement.Judge
 import org.berylpoint.entry.node.NodeContext
 import org.berylpoint.entry.once.OnceRegistry
+import org.berylpoint.entry.once.OnceTicket
 import org.berylpoint.entry.ownership.Reservations
 import org.berylpoint.entry.stream.StreamFilter
 import org.berylpoint.model.AnswerEvent
@@ -75,6 +76,12 @@
         return flow.flowOn(nodeDispatcher)
     }
 
+    /** Runs a request that another instance accepted and did not dispatch; its answer is stored, not sent. */
+    public suspend fun runAccepted(request: ServeRequest, ticket: OnceTicket) {
+        val entries = catalogue.current.value?.entriesOf(request.requestClass).orEmpty()
+        if (entries.isEmpty()) ticket.abandon() else onces.runHeld(Exchange(request, entries) {}, ticket)
+    }
+
     /**
      * Refuses new requests from now on and returns when all accepted ones are answered, or when [notice] is over.
      * A request that still waits for a place is refused as not run once it could no longer end within the notice.
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/load/HttpCaller.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/load/HttpCaller.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.contentOrNull
-import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import okhttp3.Dispatcher
@@ -98,8 +97,7 @@
             problem(data, call, send)
             return true
         }
-        val text = json["choices"]?.jsonArray?.firstOrNull()?.jsonObject?.get("delta")?.jsonObject
-            ?.get("content")?.jsonPrimitive?.contentOrNull
+        val text = chunkText(data)
         if (text != null) journal.add(CallerEvent.Chunk(journal.now(), call, send, text))
         return false
     }
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/load/LoadCommand.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/load/LoadCommand.kt
@@ -6,6 +6,7 @@
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.pair
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.double
 import com.github.ajalt.clikt.parameters.types.file
@@ -16,8 +17,8 @@
 
 /** Sends load to entry instances and writes the callers' journal. */
 internal class LoadCommand : CliktCommand(name = "load") {
-    private val entries by option("--entry", help = "base address of an entry instance; repeatable")
-        .multiple(required = true)
+    private val entries by option("--entry", help = "listeners of an entry instance for callers and admin; repeatable")
+        .pair().multiple(required = true)
     private val seconds by option(help = "how long to send").int().default(20)
     private val chats by option(help = "chats per second").double().default(8.0)
     private val bookings by option(help = "bookings per second").double().default(5.0)
@@ -32,7 +33,7 @@
         // Wall clock, so that the times compare with those of the stand-in servers' journals.
         val journal = Journal { System.currentTimeMillis() }
         val plan = LoadPlan(
-            entries = entries,
+            entries = entries.map { (callers, admin) -> EntryAddress(callers, admin) },
             seconds = seconds,
             chatsPerSecond = chats,
             bookingsPerSecond = bookings,
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/load/LoadPlan.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/load/LoadPlan.kt
@@ -2,8 +2,7 @@
 
 /** What a load run sends, and to which entry instances. */
 public data class LoadPlan(
-    /** Base addresses of the callers' listeners, as in `http://127.0.0.1:7500`. */
-    val entries: List<String>,
+    val entries: List<EntryAddress>,
     val seconds: Int = 20,
     val chatsPerSecond: Double = 8.0,
     val bookingsPerSecond: Double = 5.0,
@@ -15,3 +14,6 @@
     val bookingClass: String = "booking",
     val seed: Int = 1,
 )
+
+/** The two listeners of an entry instance, as in `http://127.0.0.1:7500`. */
+public data class EntryAddress(val callers: String, val admin: String)
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/load/LoadRunner.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/load/LoadRunner.kt
@@ -12,18 +12,25 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Sends chats and bookings at a steady rate, each through an entry instance picked at random, and journals what its
+ * Sends chats and bookings at a steady rate, each through a ready entry instance, and journals what its
  * callers see. A caller of a booking that got no final answer sends it again with the same key, through another
  * entry instance, as a person would.
  */
 public class LoadRunner(private val plan: LoadPlan, private val journal: Journal) {
     private val random = Random(plan.seed)
     private val caller = HttpCaller(journal, plan.deadlineMillis)
+    private val balancer = Balancer(plan.entries, Random(plan.seed))
 
     /** Runs the plan; returns when every call has ended. */
-    public suspend fun run(): Unit = coroutineScope {
-        launch(Dispatchers.IO) { repeatAt(plan.chatsPerSecond) { number -> launch { chat(number) } } }
-        launch(Dispatchers.IO) { repeatAt(plan.bookingsPerSecond) { number -> launch { booking(number) } } }
+    public suspend fun run() {
+        coroutineScope {
+            val polling = launch(Dispatchers.IO) { balancer.poll() }
+            coroutineScope {
+                launch(Dispatchers.IO) { repeatAt(plan.chatsPerSecond) { number -> launch { chat(number) } } }
+                launch(Dispatchers.IO) { repeatAt(plan.bookingsPerSecond) { number -> launch { booking(number) } } }
+            }
+            polling.cancel()
+        }
     }
 
     private suspend fun repeatAt(perSecond: Double, send: (Int) -> Unit) {
@@ -52,7 +59,7 @@
         }
     }
 
-    private fun entry() = synchronized(random) { plan.entries.random(random) }
+    private fun entry() = balancer.pick()
 
     private fun workspace(number: Int) = plan.workspaces[number % plan.workspaces.size]
 
