Serve operators and monitoring on a listener of their own

Cause: operators act through the catalogue and need to see which instances have confirmed a version; monitoring needs health, readiness and metrics. Ruled out: dumps of other instances over HTTP, because peers know only each other's peer addresses; two peer messages, FetchDump and DumpData, carry them. Javalin's own JSON mapper, because it would bring in a second JSON library. The test site follows Membership's new way to attach heartbeat parts. Conclusion: the operators' side of an entry instance is complete but for the wiring.

--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/AdminServer.kt
@@ -0,0 +1,95 @@
+package org.berylpoint.entry.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.Javalin
+import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
+import io.prometheus.metrics.expositionformats.ExpositionFormats
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.berylpoint.model.ErrorKind
+import org.berylpoint.model.Problem
+import org.berylpoint.model.RequestId
+import java.io.ByteArrayOutputStream
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The HTTP server for operators and monitoring, on a listener of its own.
+ *
+ * `/healthz` says that the process answers, `/readyz` whether it takes requests (status 503 with the problem that
+ * [unready] gives), `/metrics` gives the metrics in the format that the reader accepts and `/dump` the state of all
+ * components, or with `?component=` of one. None of these needs a token: the listener belongs on an address that
+ * callers can't reach. The routes below `/operator` come from [operator].
+ */
+public class AdminServer(
+    private val metrics: PrometheusRegistry,
+    private val dumps: Dumps,
+    private val operator: OperatorApi,
+    private val unready: () -> Problem?,
+) : AutoCloseable {
+    private val formats = ExpositionFormats.init()
+
+    private val javalin = Javalin.create { config ->
+        config.startup.showJavalinBanner = false
+        config.http.maxRequestSize = OperatorApi.MAX_BODY_BYTES
+        config.jetty.modifyHttpConfiguration { it.sendServerVersion = false }
+        addRoutes(config)
+        operator.addRoutes(config)
+    }
+
+    /** The port in use; of interest after a start on port 0. */
+    public val port: Int get() = javalin.port()
+
+    /** Starts to accept connections on an IP number and port; port 0 takes a free one. */
+    public fun start(host: String, port: Int) {
+        javalin.start(host, port)
+        logger.info { "http: operators are served on $host:${javalin.port()}" }
+    }
+
+    override fun close() {
+        javalin.stop()
+    }
+
+    private fun addRoutes(config: JavalinConfig) {
+        config.routes.get("/healthz") { it.result("ok\n") }
+        config.routes.get("/readyz") { context ->
+            val problem = unready()
+            if (problem == null) context.result("ready\n") else context.problem(problem, NO_ID)
+        }
+        config.routes.get("/metrics", ::writeMetrics)
+        config.routes.get("/dump") { it.writeJson(dumps.own(it.queryParam("component"))) }
+        config.routes.error(NOT_FOUND) { context ->
+            // Problems of the routes themselves have a kind already.
+            if (context.res().contentType?.startsWith(PROBLEM_JSON) != true) context.notFound()
+        }
+        config.routes.exception(Exception::class.java) { e, context ->
+            logger.error(e) { "http: ${context.method()} ${context.path()} failed" }
+            context.problem(Problem(ErrorKind.Internal, "see the log of the instance"), NO_ID)
+        }
+    }
+
+    private fun writeMetrics(context: Context) {
+        val writer = formats.findWriter(context.header("Accept"))
+        val body = ByteArrayOutputStream()
+        writer.write(body, metrics.scrape())
+        context.contentType(writer.contentType).result(body.toByteArray())
+    }
+
+    private fun Context.notFound() {
+        val body = buildJsonObject {
+            put("type", "about:blank")
+            put("title", "no such resource")
+            put("status", NOT_FOUND)
+        }
+        contentType(PROBLEM_JSON).result(body.toString())
+    }
+
+    private companion object {
+        const val NOT_FOUND = 404
+
+        /** Probes are not requests, so they have no id. */
+        val NO_ID = RequestId("")
+    }
+}
--- a/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
@@ -114,6 +114,14 @@
     /** Asks for agreement before an attempt of a request that has crashed a backend server once. */
     @Serializable
     public data class CrashNotice(val fingerprint: Fingerprint, val attempt: String, val crashed: Boolean) : PeerMessage
+
+    /** Asks for the state of the receiver's components, or of one of them, for operators. */
+    @Serializable
+    public data class FetchDump(val component: String? = null) : PeerMessage
+
+    /** The answer to a [FetchDump]: a JSON object of states by component. */
+    @Serializable
+    public data class DumpData(val json: String) : PeerMessage
 }
 
 /** A member and the time since it was last heard from, directly or through others. */
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/catalogue/CatalogueSite.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/catalogue/CatalogueSite.kt
@@ -3,13 +3,11 @@
 import arrow.core.Either
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import org.berylpoint.entry.catalogue.CatalogueSync
 import org.berylpoint.entry.member.Membership
-import org.berylpoint.entry.member.MembershipView
 import org.berylpoint.model.BackendServer
 import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.CatalogueChange
@@ -67,11 +65,9 @@
         val seeds = listOf("n0:1", "n1:1", "n2:1") + alive.take(3).map { it.machine.instance.peerAddress }
         val context =
             rig.context(machine, own, objects.caller(machine.instance.id), AbsentPlatform, AbsentBackends, seeds)
-        lateinit var sync: CatalogueSync
-        val view = MutableStateFlow(MembershipView(machine.instance, emptyMap()))
-        sync = CatalogueSync(context, view, own)
-        val membership = Membership(context, listOf(sync))
-        machine.scope.launch { membership.view.collect { view.value = it } }
+        val membership = Membership(context)
+        val sync = CatalogueSync(context, membership.view, own)
+        membership.attach(sync)
         machine.network.serve { from, message ->
             membership.handle(message) ?: sync.handle(from, message) ?: PeerMessage.Refusal("unknown")
         }
