--- a/entry/src/main/kotlin/org/berylpoint/entry/stream/ChatChunk.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/stream/ChatChunk.kt
@@ -14,9 +14,9 @@
  *
  * The OpenAI format gives chunks no position. It is found in this order:
  * 1. the member `position`, an extension: the chunk's number in the attempt from 0;
- * 2. `usage.completion_tokens`, the token count so far, with the choice's `token_ids`, which vLLM adds to each chunk
- *    when asked by `continuous_usage_stats` and `return_token_ids`: the chunk covers as many tokens as it has ids, up to
- *    that count;
+ * 2. `usage.completion_tokens`, the token count so far, which vLLM adds to each chunk when asked by
+ *    `continuous_usage_stats`: the chunk covers the tokens up to that count, as many as its choice has `token_ids`
+ *    (asked for by `return_token_ids`); without ids one if it has text, else none;
  * 3. neither: chunks are taken in the order of arrival, which the connection keeps.
  *
  * The attempt of a chunk is that of its connection. A member `attempt` or an `id` that differs from the attempt's other
@@ -47,6 +47,9 @@
 
     val promptTokens: Int? = number(usage?.get("prompt_tokens"))
 
+    /** Whether [place] is a guess: an engine that gives no ids may put several tokens into one chunk. */
+    val isPlaceGuessed: Boolean get() = tokenIds == null && "position" !in json
+
     private val tokenIds: JsonArray? = choice?.get("token_ids") as? JsonArray
 
     /** Tokens of the chunk; one for each chunk with text when the engine gives no ids. */
@@ -57,8 +60,8 @@
 
     private fun placeOf(): IntRange? {
         number(json["position"])?.let { return it..it }
-        val end = number(usage?.get("completion_tokens"))
-        return if (end == null || tokenIds == null) null else end - tokenIds.size until end
+        val end = number(usage?.get("completion_tokens")) ?: return null
+        return end - tokens until end
     }
 
     /**
--- a/entry/src/main/kotlin/org/berylpoint/entry/stream/ChunkOrder.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/stream/ChunkOrder.kt
@@ -9,6 +9,7 @@
     private var id: String? = null
     private val held = ArrayList<ChatChunk>()
     private val unplaced = ArrayList<ChatChunk>()
+    private var isByArrival = false
 
     /** Whether chunks wait for an earlier one. */
     val hasGap: Boolean get() = held.isNotEmpty()
@@ -21,12 +22,24 @@
         if (chunk.attempt != null && chunk.attempt != attempt) return emptyList()
         if (id == null) id = chunk.id
         if (chunk.id != id) return emptyList()
+        if (isByArrival) return listOf(chunk)
         if (chunk.place == null) unplaced += chunk else held += chunk
+        if (isOverfull && held.all { it.isPlaceGuessed }) return goByArrival()
         val ready = generateSequence(::takeNext).toList()
         // A chunk without a position, such as the one with the finish reason, must not overtake one that is missing.
         return if (hasGap) ready else ready + unplaced.toList().also { unplaced.clear() }
     }
 
+    // The chunk that seems to be missing does not exist: the engine counts several tokens for one chunk. The order of
+    // arrival is right then, because the connection keeps it.
+    private fun goByArrival(): List<ChatChunk> {
+        isByArrival = true
+        return (held + unplaced).also {
+            held.clear()
+            unplaced.clear()
+        }
+    }
+
     private fun takeNext(): ChatChunk? {
         held.removeAll { isBehind(it.place!!) }
         val ready = held.filter { it.place!!.first == next }.minByOrNull { it.place!!.last } ?: return null
@@ -40,6 +53,6 @@
     private fun isBehind(place: IntRange) = place.first < next
 
     private companion object {
-        const val MAX_HELD = 256
+        const val MAX_HELD = 16
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/stream/StreamSession.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/stream/StreamSession.kt
@@ -255,7 +255,8 @@
         if (StreamMigration.staysInPlace(streamLeft(attempt), notice) || !canResume()) return Step.Continue
         val version = attempt.placement.listed.entry.version
         val wish = Placer.Wish(setOf(attempt.placement.server.id), version = version, isResume = true)
-        val target = parts.placer.tryPlace(exchange, wish) ?: return Step.Continue
+        val target = parts.placer.tryPlace(exchange, wish)
+        if (target == null) return if (notice <= LAST_MOMENT) leaveWithoutTarget(attempt) else Step.Continue
         val id = exchange.nextAttempt()
         val isPermitted = target.server.id != attempt.placement.server.id &&
             parts.judge.permit(request.fingerprint, id).isRight()
@@ -272,6 +273,13 @@
         }
     }
 
+    /** No place was free during the whole notice: the stream waits for one, rather than be cut by the server's end. */
+    private suspend fun leaveWithoutTarget(attempt: StreamAttempt): Step {
+        attempt.end(parts.dispatcher, exchange, AttemptEnd.Abandoned)
+        avoid += attempt.placement.server.id
+        return again()
+    }
+
     private suspend fun move(attempt: StreamAttempt, id: String, target: Placement): Step {
         // What has arrived meanwhile is part of the text to go on from.
         var step: Step = Step.Continue
@@ -330,6 +338,9 @@
         /** Three comment lines missed. */
         val SILENCE = 3.seconds
 
+        /** Two ticks before the end of a server's notice. */
+        val LAST_MOMENT = Ticks.PERIOD * 2
+
         /** Silent connections of one request that count as nobody's fault. */
         const val MAX_SILENCES = 3
 
--- a/policy/src/main/kotlin/org/berylpoint/policy/placement/RunTimes.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/placement/RunTimes.kt
@@ -14,9 +14,12 @@
         recent.addLast(duration)
     }
 
-    /** Time below which a request hardly ever ends: the tenth percentile, zero until ten are known. */
+    /**
+     * Time below which a request hardly ever ends: the tenth percentile, the shortest while fewer than ten are known,
+     * zero when none is. Without it an overloaded server spends its places on requests that end by their deadline.
+     */
     public val floor: Duration
-        get() = if (recent.size < MIN_SAMPLES) Duration.ZERO else recent.sorted()[recent.size / MIN_SAMPLES]
+        get() = if (recent.isEmpty()) Duration.ZERO else recent.sorted()[recent.size / TENTH]
 
     /** Mean run time, zero when none is known. */
     public val mean: Duration
@@ -27,6 +30,6 @@
         }
 
     private companion object {
-        const val MIN_SAMPLES = 10
+        const val TENTH = 10
     }
 }
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/rig/SiteCaller.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/rig/SiteCaller.kt
@@ -86,12 +86,18 @@
         var end: AnswerEvent? = null
         if (at.machine.isAlive) {
             // Within the machine's scope, so that the connection breaks when the machine is killed.
-            at.machine.scope.launch {
+            val connection = at.machine.scope.launch {
                 at.node.pipeline.serve(request).collect { event ->
                     note(send, event)
                     if (event is AnswerEvent.End || event is AnswerEvent.Failed) end = event
                 }
-            }.join()
+            }
+            try {
+                connection.join()
+            } finally {
+                // A caller that is cancelled disconnects.
+                connection.cancel()
+            }
         }
         if (end == null) journal.add(CallerEvent.Disconnected(journal.now(), send.call, send.name))
         return end is AnswerEvent.End
