--- a/entry/src/main/kotlin/org/berylpoint/entry/lease/TableLease.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/lease/TableLease.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.Json
 import org.berylpoint.entry.node.NodeContext
 import org.berylpoint.model.InstanceId
+import org.berylpoint.platform.PlatformError
 import org.berylpoint.platform.Row
 import org.berylpoint.platform.RowKey
 import org.berylpoint.platform.RowWrite
@@ -55,8 +56,9 @@
     public fun start() {
         context.scope.launch {
             while (isActive) {
+                val start = context.time.markNow()
                 attempt()
-                delay(RENEWAL)
+                delay(RENEWAL - start.elapsedNow())
             }
         }
     }
@@ -64,7 +66,7 @@
     /** Tries once to take or renew the lease; [start] does so regularly. */
     public suspend fun attempt(): Unit = mutex.withLock {
         val row = table.get(key).getOrElse { return }
-        val record = row?.let { Json.decodeFromString(LeaseRecord.serializer(), it.value) }
+        val record = row?.decode()
         adopt(row, record)
         val version = row?.version ?: 0
         val current = tenure
@@ -103,12 +105,18 @@
         val start = context.time.markNow()
         sent.values.removeAll { it.elapsedNow() > DURATION }
         sent[record.token] = start
-        if (table.transact(listOf(RowWrite.Put(key, encode(record), version))).isRight()) {
+        val result = table.transact(listOf(RowWrite.Put(key, encode(record), version)))
+        if (result.isRight()) {
             if (tenure?.fence != fence) log.info { "lease: $name is held here with fencing number $fence" }
             tenure = Tenure(fence, version + 1, start)
+        } else if (result.leftOrNull() is PlatformError.NoAnswer) {
+            // Without this reading the renewal would count only from the next attempt on, after the margin has begun.
+            table.get(key).getOrNull()?.let { adopt(it, it.decode()) }
         }
     }
 
+    private fun Row.decode(): LeaseRecord = Json.decodeFromString(LeaseRecord.serializer(), value)
+
     private fun newToken(): String = "%016x".format(context.random.nextLong())
 
     private fun encode(record: LeaseRecord): String = Json.encodeToString(LeaseRecord.serializer(), record)
