Let two instances of a large failure domain write for the others

Cause: with one writer per entry instance the table service would get 30 transactions a second from each of 3,000 instances, and their probes would use up its 2,000 reads a second. Ruled out: choosing writers by the reachability in heartbeats, of which few arrive in a large fleet. Change: above 8 live instances in a failure domain the first two by rendezvous hashing write directly and probe; the others relay through them. A peer that rejects a relayed call may have made it, so that counts as no answer. Measured: with 20 instances in a domain 2 write; after both were killed 2 others do, and 38 of 38 requests ran once. OnceProofTest and OncePropertyTest pass.

--- a/entry/src/main/kotlin/org/berylpoint/entry/once/RelayingTable.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/once/RelayingTable.kt
@@ -26,6 +26,7 @@
 import org.berylpoint.platform.TableCall
 import org.berylpoint.platform.TableResult
 import org.berylpoint.platform.TableService
+import org.berylpoint.policy.Rendezvous
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,6 +40,10 @@
  * Heartbeats tell which peers reach it; peers in the own failure domain come first. A call is tried directly, then
  * through at most [RELAYS_TRIED] peers while it is certain that it took no effect. It makes the calls of peers too,
  * but never passes a relayed call on, so that calls can't go round in circles.
+ *
+ * In a failure domain with more than [ALL_WRITE_UP_TO] instances only [WRITERS] of them, the first by rendezvous
+ * hashing, write directly; the others write through them, so that the number of transactions does not grow with the
+ * fleet.
  */
 public class RelayingTable(
     private val context: NodeContext,
@@ -60,7 +65,8 @@
     public fun start() {
         context.scope.launch {
             while (isActive) {
-                if (!lastReached.isWithin(PROBE_INTERVAL)) directly(TableCall.Get(PROBE_ROW))
+                // Others don't relay, and the probes of a large fleet would use up the table service's reads.
+                if (isWriter() && !lastReached.isWithin(PROBE_INTERVAL)) directly(TableCall.Get(PROBE_ROW))
                 delay(PROBE_INTERVAL)
             }
         }
@@ -107,7 +113,8 @@
     }
 
     private suspend fun call(call: TableCall): TableResult {
-        val relayFirst = isFailing() && candidates().isNotEmpty()
+        val passesOn = call is TableCall.Transact && !isWriter()
+        val relayFirst = (isFailing() || passesOn) && candidates().isNotEmpty()
         if (!relayFirst) {
             val result = directly(call)
             if (!mayTryNext(call, result)) return result
@@ -148,8 +155,9 @@
             ifLeft = { error ->
                 avoided[peer.id] = context.time.markNow()
                 when (error) {
-                    is PeerError.Refused, is PeerError.Rejected -> unavailable("$peer: $error")
-                    is PeerError.TimedOut, is PeerError.Broken ->
+                    is PeerError.Refused -> unavailable("${peer.id}: $error")
+                    // A peer that fails while it answers may have made the call.
+                    is PeerError.TimedOut, is PeerError.Broken, is PeerError.Rejected ->
                         TableResult.Failed(PlatformError.NoAnswer("through ${peer.id}: $error"))
                 }
             },
@@ -165,12 +173,24 @@
 
     private fun candidates(): List<Instance> {
         val self = context.self
+        val writers = writers()
         return view.value.alive
-            .filter { it.id != self.id && relays[it.id].isWithin(REACH_VALID) && !avoided[it.id].isWithin(AVOID_FOR) }
+            // In a large fleet few heartbeats come from the writers, so that their state is not known.
+            .filter { relays[it.id].isWithin(REACH_VALID) || it in writers }
+            .filter { it.id != self.id && !avoided[it.id].isWithin(AVOID_FOR) }
             .shuffled(context.random)
-            .sortedBy { it.failureDomain != self.failureDomain }
+            .sortedWith(compareBy({ it !in writers }, { it.failureDomain != self.failureDomain }))
+    }
+
+    /** The instances of the own failure domain that write directly; empty while all do. */
+    private fun writers(): List<Instance> {
+        val own = view.value.aliveIn(context.self.failureDomain)
+        if (own.size <= ALL_WRITE_UP_TO) return emptyList()
+        return Rendezvous.ranked(WRITERS_KEY, own) { it.id.value }.take(WRITERS)
     }
 
+    private fun isWriter(): Boolean = writers().let { it.isEmpty() || context.self in it }
+
     // A path that failed is tried again after a while; until then calls don't wait for its timeout.
     private fun isFailing(): Boolean = lastFailed.isWithin(AVOID_FOR)
 
@@ -183,6 +203,13 @@
         /** Wait for the answer of a peer, which itself waits for the table service. */
         public val RELAY_TIMEOUT: Duration = 4.seconds
 
+        /** Instances in a failure domain up to which all of them write directly. */
+        public const val ALL_WRITE_UP_TO: Int = 8
+
+        /** Instances that write directly in a larger failure domain. */
+        public const val WRITERS: Int = 2
+
+        private const val WRITERS_KEY = "table writers"
         private val PROBE_INTERVAL = 2.seconds
         private val AVOID_FOR = 2.seconds
         private const val RELAYS_TRIED = 3
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/proofs/OnceProofTest.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/proofs/OnceProofTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.berylpoint.model.ErrorKind
+import org.berylpoint.model.InstanceId
 import org.berylpoint.model.RunState
 import org.berylpoint.testkit.standin.Fault
 import org.berylpoint.testkit.standin.StandInCall
@@ -321,6 +322,30 @@
             }
         }
 
+        test("in a large failure domain two instances write for all the others, and hand on when they die") {
+            proof { world ->
+                val nodes = (1..20).map { world.node("m$it", "dar-eb") }
+                delay(10.seconds)
+
+                suspend fun writersOf(round: Int): Set<InstanceId?> {
+                    val before = world.table.faults.calls
+                    nodes.filter { it.machine.isAlive }.mapIndexed { i, node -> node.submit("k$round-$i") }
+                        .forEach { it.join() }
+                    val after = world.table.faults.calls
+                    return after.filter { (call, count) -> call.isWrite && count > (before[call] ?: 0) }
+                        .map { it.key.caller }.toSet()
+                }
+                val first = writersOf(1)
+                first.size shouldBe 2
+                nodes.filter { it.id in first }.forEach { it.machine.kill() }
+                delay(10.seconds)
+                val second = writersOf(2)
+                second.size shouldBe 2
+                (first intersect second).shouldBeEmpty()
+                world.runs.size shouldBe 20 + 18
+            }
+        }
+
         test("steps of 300 requests that arrive together share transactions, at most 30 a second per instance") {
             proof { world ->
                 val before = world.table.transactions
