--- a/entry/src/main/kotlin/org/berylpoint/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/EntryNode.kt
@@ -2,6 +2,8 @@
 
 import org.berylpoint.entry.backend.LiveServerDirectory
 import org.berylpoint.entry.catalogue.CatalogueSync
+import org.berylpoint.entry.http.Dumps
+import org.berylpoint.entry.http.StateDump
 import org.berylpoint.entry.judgement.PooledJudge
 import org.berylpoint.entry.member.DomainEpochs
 import org.berylpoint.entry.member.Membership
@@ -11,7 +13,9 @@
 import org.berylpoint.entry.ownership.PeerReservations
 import org.berylpoint.entry.pipeline.Pipeline
 import org.berylpoint.entry.pipeline.ServingPipeline
+import org.berylpoint.model.ErrorKind
 import org.berylpoint.model.InstanceId
+import org.berylpoint.model.Problem
 import org.berylpoint.peer.PeerMessage
 import org.berylpoint.policy.Rendezvous
 import kotlin.time.Duration
@@ -54,11 +58,19 @@
     /** Requests that run or wait here. */
     public val inFlight: Int get() = serving.inFlight
 
-    /** Whether this instance knows a catalogue and is not stopping, as `/readyz` tells the balancer. */
-    public val isReady: Boolean get() = !isStopping && catalogue.current.value != null
+    /** Why this instance takes no requests now; null when it does. */
+    public fun unready(): Problem? = when {
+        isStopping -> Problem(ErrorKind.ShuttingDown, "the instance is shutting down")
+        catalogue.current.value == null -> Problem(ErrorKind.NotReady, "no catalogue is known yet")
+        else -> null
+    }
+
+    /** The states of all components, for operators. */
+    public val dumps: Dumps = Dumps(outside.self, outside.peers) { dumped }
 
     @Volatile
     private var isStopping = false
+    private val dumped: List<StateDump> = listOf(catalogue)
 
     init {
         listOf(table, catalogue, epochs, keeper, judge).forEach { membership.attach(it) }
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/EntryProcess.kt
@@ -1,6 +1,7 @@
 package org.berylpoint.entry.node
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -8,9 +9,11 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.withContext
+import org.berylpoint.entry.http.AdminServer
 import org.berylpoint.entry.http.CallerServer
 import org.berylpoint.entry.http.HttpBackendClient
 import org.berylpoint.entry.http.HttpLimits
+import org.berylpoint.entry.http.OperatorApi
 import org.berylpoint.entry.settings.NodeSettings
 import org.berylpoint.entry.settings.ServiceSettings
 import org.berylpoint.model.Instance
@@ -77,6 +80,14 @@
         maxBodyBytes = settings.limits.bodyBytes,
         maxHeaderBytes = settings.limits.headerBytes,
     )
+    private val operator = OperatorApi(
+        scope,
+        settings.operatorToken,
+        node.catalogue,
+        node.membership.view,
+        node.dumps,
+    ) { node.judge.shares(it, CHAT_ROUTE) }
+    private val admin = AdminServer(PrometheusRegistry.defaultRegistry, node.dumps, operator, node::unready)
     private val callers = CallerServer(self.id, sockets, time, node.catalogue, node.pipeline, limits)
 
     /** Starts all listeners and components. */
@@ -85,6 +96,7 @@
         withContext(dispatcher) { node.start(context) }
         peers.listen()
         callers.start(settings.instance.callerAddress.host, settings.instance.callerAddress.port)
+        admin.start(settings.instance.adminAddress.host, settings.instance.adminAddress.port)
     }
 
     /** Stops gracefully: see [EntryNode.stop]. */
@@ -92,6 +104,7 @@
         log.info { "node: ${self.id} stops, ${node.inFlight} requests in flight" }
         withContext(dispatcher) { node.stop(settings.instance.drain) }
         callers.close()
+        admin.close()
         peers.close()
         backends.close()
         scope.cancel()
@@ -110,6 +123,7 @@
 
     private companion object {
         const val SUFFIXES = 36 * 36 * 36 * 36
+        const val CHAT_ROUTE = "/v1/chat/completions"
         const val SUFFIX_RADIX = 36
     }
 }
