Add berylctl for operators

Cause: operators act through the catalogue only and need a command line whose exit codes scripts can rely on. Ruled out: an automatic repeat after a version conflict, because the other change may be the opposite one; the operator decides.

--- /dev/null
+++ b/ctl/src/main/kotlin/org/berylpoint/ctl/Session.kt
@@ -0,0 +1,7 @@
+package org.berylpoint.ctl
+
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/** What the commands share: the client, and the clock that `--wait` and `watch` go by. */
+internal class Session(val client: () -> OperatorClient, val time: TimeSource, val pause: (Duration) -> Unit)
