--- a/entry/src/main/kotlin/org/berylpoint/entry/judgement/EvidencePool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/judgement/EvidencePool.kt
@@ -1,5 +1,6 @@
 package org.berylpoint.entry.judgement
 
+import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.Catalogue
 import org.berylpoint.model.FailureDomain
 import org.berylpoint.model.InstanceId
@@ -10,8 +11,13 @@
 import org.berylpoint.policy.judgement.Stratum
 import kotlin.random.Random
 
-/** What a counter counts. */
-internal data class EvidenceKey(val requestClass: RequestClass, val version: VersionName, val stratum: Stratum)
+/** What a counter counts; [heldAt] is set for slow outcomes at a server that may only be cold. */
+internal data class EvidenceKey(
+    val requestClass: RequestClass,
+    val version: VersionName,
+    val stratum: Stratum,
+    val heldAt: BackendServerId? = null,
+)
 
 /**
  * Outcomes by reporter. Each reporter's counters only grow, so a heartbeat that is lost, late or repeated changes
@@ -34,6 +40,7 @@
             counter.requestClass,
             counter.version,
             Stratum(counter.route, counter.from, counter.to),
+            counter.heldAt,
         )
         val known = counters.getOrPut(counter.reporter) { mutableMapOf() }
         val old = known[key] ?: Outcomes.NONE
@@ -91,6 +98,7 @@
         key.stratum.to,
         outcomes.good,
         outcomes.bad,
+        key.heldAt,
     )
 
     private companion object {
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Dispatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Dispatcher.kt
@@ -72,6 +72,7 @@
             AttemptOutcome.CANCELLED -> Unit
         }
         if (outcome == AttemptOutcome.COMPLETED || outcome == AttemptOutcome.SLOW) loads.answered(id)
+        if (outcome != AttemptOutcome.CRASHED) judge.finished(exchange.request.fingerprint, attempt)
     }
 
     /** Tells a crash of the server, which the request may have caused, from a break of the connection. */
--- a/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
@@ -160,6 +160,8 @@
     val to: FailureDomain,
     val good: Long,
     val bad: Long,
+    /** Set for slow outcomes at a server that may only be cold; they count if most of the version's servers are. */
+    val heldAt: BackendServerId? = null,
 )
 
 /** One crash of a backend server that [attempt] of a request caused. */
--- a/policy/src/main/kotlin/org/berylpoint/policy/judgement/ErrorRates.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/judgement/ErrorRates.kt
@@ -8,4 +8,6 @@
     val miss: Double = 0.05,
     /** Difference in the rate of bad outcomes that must not be missed. */
     val margin: Double = 0.10,
+    /** The same on one route of several, which gets less evidence. */
+    val routeMargin: Double = 0.30,
 )
