Bound the crashes of a request and spare those that ran beside it

Ruled out: running all retries of crashed requests one by one, which would delay the retries after any crash of a server. Change: an attempt of a request that has crashed a server names its server in the notice, and of such requests one runs there at a time, for up to 1 s. Calls are placed before they ask for the permit, so that the server is known. Conclusion: plain calls are spared; streams still ask without the server.

--- a/entry/src/main/kotlin/org/berylpoint/entry/judgement/CrashGuard.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/judgement/CrashGuard.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.berylpoint.entry.member.MembershipView
 import org.berylpoint.entry.node.NodeContext
+import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.ErrorKind
 import org.berylpoint.model.Fingerprint
 import org.berylpoint.model.Problem
@@ -33,10 +34,18 @@
  * Bounds the crashes that one request causes to two over all entry instances that can talk to each other.
  *
  * After its first crash, attempts of a request run one at a time: each is announced to the peers, and one that runs
- * an attempt of the same request refuses. Of two announcements at the same time the lower attempt name wins.
+ * an attempt of the same request refuses. Of two announcements at the same time the lower attempt name wins. All
+ * requests on a crashed server count as crashed once; to tell them apart, at most one of them runs on another server
+ * at a time, unless that takes too long.
  */
 internal class CrashGuard(private val context: NodeContext, private val members: StateFlow<MembershipView>) {
-    private class Attempt(val name: String, val since: ComparableTimeMark, var isPending: Boolean)
+    private class Attempt(
+        val name: String,
+        val since: ComparableTimeMark,
+        /** The server, when it is to run no other request that has crashed one. */
+        val server: BackendServerId? = null,
+        var isPending: Boolean = false,
+    )
 
     private val marks = CrashMarks()
     private val running = mutableMapOf<Fingerprint, MutableList<Attempt>>()
@@ -58,32 +67,33 @@
         received.forEach { marks.add(it) }
     }
 
-    suspend fun permit(fingerprint: Fingerprint, attempt: String): Either<Problem, Unit> {
+    suspend fun permit(fingerprint: Fingerprint, attempt: String, server: BackendServerId?): Either<Problem, Unit> {
         if (marks.isQuarantined(fingerprint)) return quarantined(fingerprint)
         if (!marks.hasCrashed(fingerprint)) {
-            attemptsOf(fingerprint) += Attempt(attempt, context.time.markNow(), isPending = false)
+            attemptsOf(fingerprint) += Attempt(attempt, context.time.markNow())
             return Unit.right()
         }
         val start = context.time.markNow()
         while (start.elapsedNow() < AGREEMENT_BOUND) {
             if (marks.isQuarantined(fingerprint)) return quarantined(fingerprint)
-            if (agree(fingerprint, attempt)) return Unit.right()
+            val alone = server.takeIf { start.elapsedNow() < ALONE_BOUND }
+            if (agree(fingerprint, attempt, alone)) return Unit.right()
             delay(RETRY_BASE + context.random.nextInt(RETRY_SPREAD_MILLIS).milliseconds)
         }
         return Problem(ErrorKind.Overloaded, "another attempt of this request, which crashed a server, runs").left()
     }
 
     /** One round of asking; true when this attempt may start. */
-    private suspend fun agree(fingerprint: Fingerprint, name: String): Boolean {
-        if (attemptsOf(fingerprint).isNotEmpty()) return false
-        val own = Attempt(name, context.time.markNow(), isPending = true)
+    private suspend fun agree(fingerprint: Fingerprint, name: String, server: BackendServerId?): Boolean {
+        if (rivals(fingerprint, server).isNotEmpty()) return false
+        val own = Attempt(name, context.time.markNow(), server, isPending = true)
         attemptsOf(fingerprint) += own
         var granted = false
         try {
-            val refused = askPeers(CrashNotice(fingerprint, name, crashed = false))
+            val refused = askPeers(CrashNotice(fingerprint, name, crashed = false, server))
             if (readRow(fingerprint)) marks.quarantine(fingerprint)
             // A notice of a lower attempt name takes a pending attempt off the list.
-            granted = !refused && own in attemptsOf(fingerprint) && !marks.isQuarantined(fingerprint)
+            granted = !refused && own in running[fingerprint].orEmpty() && !marks.isQuarantined(fingerprint)
         } finally {
             if (granted) own.isPending = false else remove(fingerprint, name)
         }
@@ -120,12 +130,22 @@
         }
         if (marks.isQuarantined(fingerprint)) return PeerMessage.Refusal("quarantined")
         marks.suspect(fingerprint)
-        val others = running[fingerprint].orEmpty().filter { it.name != notice.attempt }
+        val others = rivals(fingerprint, notice.server).filter { it.name != notice.attempt }
         if (others.any { !it.isPending || it.name < notice.attempt }) return PeerMessage.Refusal("an attempt runs here")
-        others.forEach { remove(fingerprint, it.name) }
+        others.forEach(::withdraw)
         return PeerMessage.Ack
     }
 
+    /** Attempts of the same request, and those of other requests that are to be alone on [server]. */
+    private fun rivals(fingerprint: Fingerprint, server: BackendServerId?): List<Attempt> =
+        running[fingerprint].orEmpty() +
+            running.filterKeys { it != fingerprint }.values.flatten().filter { server != null && it.server == server }
+
+    private fun withdraw(attempt: Attempt) {
+        running.values.forEach { it -= attempt }
+        running.values.removeAll { it.isEmpty() }
+    }
+
     private fun attemptsOf(fingerprint: Fingerprint) = running.getOrPut(fingerprint) { mutableListOf() }
 
     private fun remove(fingerprint: Fingerprint, name: String) {
@@ -172,6 +192,9 @@
         const val PARTITION = "quarantine"
         val NOTICE_TIMEOUT = 1.seconds
         val AGREEMENT_BOUND = 10.seconds
+
+        // A place on a backend server is lost if it is not used within 2 s.
+        val ALONE_BOUND = 1.seconds
         val RETRY_BASE = 50.milliseconds
         const val RETRY_SPREAD_MILLIS = 150
         val WRITE_PAUSE = 500.milliseconds
--- a/entry/src/main/kotlin/org/berylpoint/entry/judgement/Judge.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/judgement/Judge.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import org.berylpoint.model.BackendServer
+import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.CatalogueEntry
 import org.berylpoint.model.Fingerprint
 import org.berylpoint.model.Problem
@@ -22,6 +23,16 @@
      */
     public suspend fun permit(fingerprint: Fingerprint, attempt: String): Either<Problem, Unit>
 
+    /**
+     * The same for an attempt on [server]. Of the requests that crashed a server it lets, for a while, only one run on
+     * [server], so that a second crash shows which of the requests on the first server was its cause.
+     */
+    public suspend fun permit(
+        fingerprint: Fingerprint,
+        attempt: String,
+        server: BackendServerId,
+    ): Either<Problem, Unit> = permit(fingerprint, attempt)
+
     /** Notes that [attempt] crashed a backend server; it counts for no version. */
     public fun crashed(fingerprint: Fingerprint, attempt: String)
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/judgement/PooledJudge.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/judgement/PooledJudge.kt
@@ -11,6 +11,7 @@
 import org.berylpoint.entry.member.MembershipView
 import org.berylpoint.entry.node.NodeContext
 import org.berylpoint.model.BackendServer
+import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.Catalogue
 import org.berylpoint.model.CatalogueChange
 import org.berylpoint.model.CatalogueEntry
@@ -105,7 +106,13 @@
     }
 
     override suspend fun permit(fingerprint: Fingerprint, attempt: String): Either<Problem, Unit> =
-        crashes.permit(fingerprint, attempt)
+        crashes.permit(fingerprint, attempt, server = null)
+
+    override suspend fun permit(
+        fingerprint: Fingerprint,
+        attempt: String,
+        server: BackendServerId,
+    ): Either<Problem, Unit> = crashes.permit(fingerprint, attempt, server)
 
     override fun crashed(fingerprint: Fingerprint, attempt: String): Unit = crashes.crashed(fingerprint, attempt)
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/CallFilter.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/CallFilter.kt
@@ -29,10 +29,11 @@
         while (true) {
             val attempt = exchange.nextAttempt()
             // The error that a server gave is a better answer than that no other attempt can be made.
-            judge.permit(exchange.request.fingerprint, attempt).onLeft { return exchange.end(lastAnswer, it) }
             val placement = placer.place(exchange, Placer.Wish(tried)).getOrElse { return exchange.end(lastAnswer, it) }
+            permit(exchange, placement, attempt)?.let { return exchange.end(lastAnswer, it) }
             if (!placement.grant.isUsable()) {
                 placement.grant.release(AttemptOutcome.NOT_SENT)
+                judge.finished(exchange.request.fingerprint, attempt)
                 continue
             }
             val result = wholeCall.run(exchange, placement, attempt)
@@ -55,6 +56,18 @@
         }
     }
 
+    /** Why the attempt must not start; the place is given back then, and when the wait for the answer is cancelled. */
+    private suspend fun permit(exchange: Exchange, placement: Placement, attempt: String): Problem? {
+        var isPermitted = false
+        try {
+            val problem = judge.permit(exchange.request.fingerprint, attempt, placement.server.id).leftOrNull()
+            isPermitted = problem == null
+            return problem
+        } finally {
+            if (!isPermitted) placement.grant.release(AttemptOutcome.NOT_SENT)
+        }
+    }
+
     private suspend fun Exchange.end(lastAnswer: StoredAnswer?, problem: Problem) =
         if (lastAnswer != null) answer(lastAnswer) else fail(problem)
 
--- a/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/PeerMessage.kt
@@ -113,7 +113,13 @@
 
     /** Asks for agreement before an attempt of a request that has crashed a backend server once. */
     @Serializable
-    public data class CrashNotice(val fingerprint: Fingerprint, val attempt: String, val crashed: Boolean) : PeerMessage
+    public data class CrashNotice(
+        val fingerprint: Fingerprint,
+        val attempt: String,
+        val crashed: Boolean,
+        /** Set when no other request that has crashed a server is to run on this one meanwhile. */
+        val server: BackendServerId? = null,
+    ) : PeerMessage
 
     /** Asks for the state of the receiver's components, or of one of them, for operators. */
     @Serializable
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/proofs/JudgementScene.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/proofs/JudgementScene.kt
@@ -88,7 +88,7 @@
     val backends = FakeBackends(Random(seed))
     val table = MemoryTable()
     val domains = listOf("a", "b", "c", "d").map(::FailureDomain)
-    val nodes: List<Node>
+    val nodes = mutableListOf<Node>()
     private val random = Random(seed)
     private val meanGapMillis = 1_000.0 / requestsPerSecond
     private val catalogue = MutableStateFlow(Catalogue())
@@ -116,7 +116,7 @@
                 )
             }
         }
-        nodes = (0 until 8).map { Node(rig.machine("i$it", domains[it % 4])) }
+        nodes += (0 until 8).map { Node(rig.machine("i$it", domains[it % 4])) }
     }
 
     inner class Node(val machine: Machine) {
@@ -233,6 +233,24 @@
         withTimeoutOrNull(bound) { catalogue.first { it.moves[CLASS]?.state != VersionMove.State.RUNNING } }
     }
 
+    /** Starts crashed servers again after [pause]. */
+    fun restartCrashed(pause: Duration) {
+        test.backgroundScope.launch {
+            while (true) {
+                delay(100.milliseconds)
+                backends.all.values.filter { !it.isUp }.forEach { down ->
+                    later(pause) { if (!down.isUp) down.restart() }
+                }
+            }
+        }
+    }
+
+    /** Starts an instance in place of the one at [index], under a new name. */
+    fun restartNode(index: Int) {
+        val old = nodes[index].machine.instance
+        nodes += Node(rig.machine("${old.id}-again", old.failureDomain))
+    }
+
     /** Runs [block] after [wait]. */
     fun later(wait: Duration, block: () -> Unit) {
         test.backgroundScope.launch {
