--- a/ctl/src/test/kotlin/org/berylpoint/ctl/BerylctlTest.kt
+++ b/ctl/src/test/kotlin/org/berylpoint/ctl/BerylctlTest.kt
@@ -62,6 +62,17 @@
             result.stdout shouldBe "valid: 2 entries\n"
         }
 
+        test("the catalogues of all samples are accepted") {
+            val files = File("../samples").walk().filter { it.name == "catalogue.json" }.toList()
+            files.map { it.parentFile.name }.sorted() shouldBe listOf("demo", "elimu", "lechfeld")
+            files.forEach { file ->
+                // bin/demo fills in the ports of its own processes.
+                val content = file.readText().replace(Regex("@PORT(\\d+)@"), "127.0.0.1:90$1")
+                val result = command().test(listOf("catalogue", "check", write(content)))
+                withClue("$file: ${result.stderr}") { result.statusCode shouldBe 0 }
+            }
+        }
+
         val badFiles = listOf(
             "no JSON" to "{" to "is no catalogue file",
             "an unknown member" to file(entry("a", "v1", 1, """{"maxInFlight": 8, "maxInflight": 9}""")) to
