--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeServer.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/FakeServer.kt
@@ -200,7 +200,8 @@
 
     /** Waits while the process is frozen. */
     protected suspend fun awaitThawed() {
-        frozen.first { !it }
+        // `first` ends by an exception, which costs more than the rest of a token.
+        if (frozen.value) frozen.first { !it }
     }
 
     /** Waits for [millis] of the process's own time, which stands still while it is frozen. */
