Keep the HTTP server from logging without end when a connection is aborted

Cause: an abort through Jetty recycled the response under Javalin, whose error handler then failed and was called again without end; a test run hung in it. Ruled out: ending the future with an error, which Javalin handles the same way. Change: an answer that broke off before it was given is replaced by its problem; a server that closes tells running callers ShuttingDown with run state unknown. Conclusion: Javalin must never see an error after the response has begun.

--- a/entry/src/main/kotlin/org/berylpoint/entry/http/CallerAnswer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/CallerAnswer.kt
@@ -3,8 +3,10 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.http.Context
 import org.berylpoint.model.AnswerEvent
+import org.berylpoint.model.ErrorKind
+import org.berylpoint.model.Problem
+import org.berylpoint.model.RunState
 import org.berylpoint.model.ServeRequest
-import java.io.IOException
 
 private val logger = KotlinLogging.logger {}
 
@@ -33,16 +35,10 @@
         if (headWritten) output.flush()
     }
 
-    /** Ends the connection, so that the caller doesn't take what it has for the whole answer. */
-    fun abort() {
-        try {
-            response.sendError(ABORT)
-        } catch (e: IOException) {
-            logger.debug { "http: the connection of ${request.id} has ended: ${e.message}" }
-        } catch (e: IllegalStateException) {
-            logger.debug { "http: the connection of ${request.id} has ended: ${e.message}" }
-        }
-    }
+    /** Tells the caller that the answer ends here, because this instance stops. */
+    fun stop() = write(
+        AnswerEvent.Failed(Problem(ErrorKind.ShuttingDown, "the entry instance stopped", ran = RunState.UNKNOWN)),
+    )
 
     private fun head(status: Int, contentType: String) {
         response.status = status
@@ -66,14 +62,10 @@
 
             events -> print("event: error\ndata: $body\n\n")
 
-            else -> abort()
+            // Such an answer is checked before its head is written; see CallerServer.
+            else -> logger.error { "http: the answer to ${request.id} broke off: ${event.problem.detail}" }
         }
     }
 
-    private companion object {
-        /** Jetty's status for ending the connection in place of an answer. */
-        const val ABORT = -1
-    }
-
     private fun print(text: String) = output.write(text.toByteArray())
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/CallerServer.kt
@@ -124,12 +124,24 @@
         val answer = CallerAnswer(context, request)
         val done = CompletableFuture<Unit>()
         answers.launch { write(answer, request) }.invokeOnCompletion { cause ->
-            if (cause != null) answer.abort()
+            if (cause != null) tell(answer, request)
             done.complete(Unit)
         }
         return done
     }
 
+    // Jetty's way to abort a connection recycles the response under Javalin, which then logs errors without end.
+    private fun tell(answer: CallerAnswer, request: ServeRequest) {
+        try {
+            answer.stop()
+            answer.flush()
+        } catch (e: IOException) {
+            logger.debug { "http: the caller of ${request.id} has gone: ${e.message}" }
+        } catch (e: IllegalStateException) {
+            logger.debug { "http: the connection of ${request.id} has ended: ${e.message}" }
+        }
+    }
+
     private suspend fun write(answer: CallerAnswer, request: ServeRequest) {
         try {
             if (request.stream) writeStream(answer, pipeline.serve(request)) else writeWhole(answer, request)
@@ -144,8 +156,10 @@
     private suspend fun writeWhole(answer: CallerAnswer, request: ServeRequest) {
         val parts = ArrayList<AnswerEvent>()
         pipeline.serve(request).collect(parts::add)
+        // A body that broke off is not given in part, as nothing would tell the caller that it is not whole.
+        val failure = parts.lastOrNull() as? AnswerEvent.Failed
         withContext(writers) {
-            parts.forEach(answer::write)
+            (failure?.let(::listOf) ?: parts).forEach(answer::write)
             answer.flush()
         }
     }
