Let a new instance find out that the members of a row are gone

Cause: after all instances of a site have ended, a new one knew the members of its domain's row only from the row. It never called them, so they were never confirmed gone and the domain stayed without an owner. DomainEpochsTest showed this: the row kept [n1, n2] in place of [n3]. Ruled out: removing members that the instance has not heard of (they may be alive behind a partition). Change: DomainEpochs calls members of the row that are not in the membership view and reports those whose port refuses, or whose address another instance has, to Membership.confirmGone.

--- a/entry/src/main/kotlin/org/berylpoint/entry/member/DomainEpochs.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/member/DomainEpochs.kt
@@ -18,6 +18,7 @@
 import org.berylpoint.model.Instance
 import org.berylpoint.model.InstanceId
 import org.berylpoint.peer.EpochDigest
+import org.berylpoint.peer.PeerError
 import org.berylpoint.peer.PeerMessage.Heartbeat
 import org.berylpoint.platform.PlatformError
 import org.berylpoint.platform.RowKey
@@ -39,8 +40,12 @@
  * exist, and the members' confirmations of an epoch prove that it is the newest one: a member stops to confirm its
  * epoch before it sends a write, until the outcome of the write is known.
  */
-public class DomainEpochs(private val context: NodeContext, private val membership: StateFlow<MembershipView>) :
-    HeartbeatPart {
+public class DomainEpochs(
+    private val context: NodeContext,
+    private val membership: StateFlow<MembershipView>,
+    /** Told of members of the row that no instance here has heard of and whose port refuses. */
+    private val confirmGone: (InstanceId) -> Unit,
+) : HeartbeatPart {
     private class Known(val epoch: DomainEpoch, var readAt: ComparableTimeMark?)
 
     private class ReadRow(val version: Long, val row: DomainRow)
@@ -59,6 +64,7 @@
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var lastRow: ReadRow? = null
     private var lastRead: ComparableTimeMark? = null
+    private var lastProbe: ComparableTimeMark? = null
     private var isReadWanted = true
     private var isRowAbsent = false
     private var isLeaving = false
@@ -175,6 +181,7 @@
         silentSince.keys.retainAll(members.map { it.id }.toSet() - alive)
         confirmations.keys.removeAll(view.departed)
         if (isReadDue(view)) read()
+        if (!lastProbe.isWithin(PROBE_INTERVAL)) probeStrangers(members, view)
         val repeated = unresolved
         if (repeated != null) write(repeated) else propose(view)
     }
@@ -186,6 +193,23 @@
         return if (isPoller) !lastRead.isWithin(POLL_INTERVAL) else !known[domain]?.readAt.isWithin(READ_BY_ALL_AFTER)
     }
 
+    /**
+     * Calls members of the row that are not in [view]. After all instances of a site have ended, no other instance
+     * can tell a new one that they are gone.
+     */
+    private fun probeStrangers(members: List<Instance>, view: MembershipView) {
+        lastProbe = context.time.markNow()
+        members.filter { it.id !in view.members && it.id !in view.departed }.forEach { stranger ->
+            context.scope.launch {
+                context.peers.call(stranger.peerAddress, Heartbeat(self), Membership.HEARTBEAT_TIMEOUT).fold(
+                    ifLeft = { if (it == PeerError.Refused) confirmGone(stranger.id) },
+                    // Another instance has taken over the address.
+                    ifRight = { if (it is Heartbeat && it.sender.id != stranger.id) confirmGone(stranger.id) },
+                )
+            }
+        }
+    }
+
     private suspend fun read() {
         val start = context.time.markNow()
         lastRead = start
@@ -310,6 +334,7 @@
         // Half of the validity: the pollers are then dead or cut off from the platform.
         private val READ_BY_ALL_AFTER = 3.seconds
         private val MINORITY_DELAY = 4.seconds
+        private val PROBE_INTERVAL = 2.seconds
         private val CALL_TIMEOUT = 2500.milliseconds
     }
 }
