Answer not-run only when the key of the request is released

Cause: the pipeline answered not-run for a request whose record was accepted and not confirmed as released; if its holder dies then, a survivor runs it. Ruled out: always unknown at the deadline, which would hide true not-run answers; 500 ms are allowed for the release instead. Change: OnceFilter asks OnceTicket.mayRunElsewhere before it answers not-run.

--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/OnceFilter.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/OnceFilter.kt
@@ -20,6 +20,7 @@
 import org.berylpoint.model.RunState
 import org.berylpoint.peer.AttemptOutcome
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -40,6 +41,8 @@
         val work = Work(exchange)
         val running = scope.async { drain.track { work.run() } }
         val result = withTimeoutOrNull(exchange.remaining) { running.await() }
+            // The release of the key shortly after the deadline turns an unknown outcome into a true not-run.
+            ?: withTimeoutOrNull(if (work.isOnlyAccepted) RELEASE_WAIT else Duration.ZERO) { running.await() }
             ?: (if (work.mayHaveRun) unknown("no answer within the deadline") else late()).left()
         result.fold({ exchange.fail(it) }, { exchange.answer(it) })
     }
@@ -48,11 +51,17 @@
     suspend fun runHeld(exchange: Exchange, ticket: OnceTicket): Unit = drain.track { Work(exchange).run(ticket) }
 
     private inner class Work(val exchange: Exchange) {
+        private var accepted: OnceTicket? = null
+        private var isDispatching = false
+
+        /** Whether this instance holds the record and has not begun to dispatch the request. */
+        val isOnlyAccepted: Boolean get() = accepted != null && !isDispatching
+
         /**
-         * Whether a request with this key may have run. Until the record is read, an earlier request may have; then
-         * it is false, up to the moment before the record of the dispatch is written.
+         * Whether a request with this key may have run, or may yet. Until the record is read, an earlier request may
+         * have; until its release is confirmed, another instance may take it over and run it.
          */
-        var mayHaveRun = true
+        val mayHaveRun: Boolean get() = isDispatching || accepted?.mayRunElsewhere ?: true
 
         suspend fun run(held: OnceTicket? = null): Either<Problem, StoredAnswer> = try {
             if (held == null) decide() else runOnce(held)
@@ -72,7 +81,7 @@
             }
 
         private suspend fun runOnce(ticket: OnceTicket): Either<Problem, StoredAnswer> {
-            mayHaveRun = false
+            accepted = ticket
             val attempt = exchange.nextAttempt()
             val placement = either {
                 judge.permit(exchange.request.fingerprint, attempt).bind()
@@ -91,7 +100,7 @@
         }
 
         private suspend fun store(ticket: OnceTicket, placement: Placement): Problem? {
-            mayHaveRun = true
+            isDispatching = true
             val problem = ticket.dispatch(placement.server.id).leftOrNull()
             val expired = Problem(ErrorKind.Overloaded, "the place expired before the dispatch was stored")
             return problem ?: expired.takeUnless { placement.grant.isUsable() }
@@ -122,11 +131,17 @@
 
         private suspend fun notRun(ticket: OnceTicket, problem: Problem): Either<Problem, StoredAnswer> {
             ticket.abandon()
-            return problem.left()
+            val isTrue = problem.ran != RunState.NOT_RUN || !ticket.mayRunElsewhere
+            return (if (isTrue) problem else unknown("${problem.detail}; the key is not released yet")).left()
         }
     }
 
     private fun unknown(detail: String) = Problem(ErrorKind.OutcomeUnknown, detail, RunState.UNKNOWN)
 
     private fun late() = Problem(ErrorKind.DeadlineExceeded, "the deadline passed before the dispatch")
+
+    private companion object {
+        // Several times what one write to the table service takes.
+        val RELEASE_WAIT = 500.milliseconds
+    }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/pipeline/PipelineScene.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/pipeline/PipelineScene.kt
@@ -237,12 +237,15 @@
 internal class ScriptedOnce : OnceRegistry {
     var decision: (OnceTicket) -> OnceDecision = { OnceDecision.Run(it) }
     var dispatchProblem: Problem? = null
+    var mayRunElsewhere = false
     val log = ArrayList<String>()
 
     override suspend fun begin(request: ServeRequest): OnceDecision {
         log += "begin"
         return decision(
             object : OnceTicket {
+                override val mayRunElsewhere get() = this@ScriptedOnce.mayRunElsewhere
+
                 override suspend fun dispatch(server: BackendServerId): Either<Problem, Unit> {
                     log += "dispatch $server"
                     return dispatchProblem?.left() ?: Unit.right()
--- a/entry/src/test/kotlin/org/berylpoint/entry/pipeline/ServingPipelineTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/pipeline/ServingPipelineTest.kt
@@ -321,6 +321,20 @@
             }
         }
 
+        // Guards against a not-run for a request that a survivor finds accepted and runs.
+        for (isReleased in listOf(true, false)) {
+            test("a request that gets no place is answered not-run only if its key is released: $isReleased") {
+                runTest {
+                    val scene = PipelineScene(this, onceLimits).apply { server("s1", script = answering("seat")) }
+                    scene.places.limits["s1"] = 0
+                    scene.once.mayRunElsewhere = !isReleased
+                    val problem = scene.serve(scene.request(key = "k", deadline = 3.seconds)).problem
+                    problem.ran shouldBe if (isReleased) RunState.NOT_RUN else RunState.UNKNOWN
+                    scene.backends.calls.shouldBeEmpty()
+                }
+            }
+        }
+
         val onceFailures = listOf(
             Triple(refusing, "abandon", RunState.NOT_RUN),
             Triple(breaking, "unknown", RunState.UNKNOWN),
