Refuse waiting requests by the run times known now

Cause: in StreamProofTest, 60 chats on two places were all dispatched, most of them about 40 ms before their deadline: the shortest run time was read once when a request began to wait, before any answer of the class was known. Ruled out: a lower queue limit, which refuses requests that could be served. Change: the shortest run time is read at each try; findings of the linter.

--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Placer.kt
@@ -92,9 +92,10 @@
         suspend fun tryOnce(): Placement? = candidates().firstNotNullOfOrNull { ask(it, Duration.ZERO) }
 
         suspend fun waitForPlace(): Either<Problem, Placement> {
-            val floor = if (wish.isResume) Duration.ZERO else waitingRoom.floor(request.requestClass)
             var sinceServer = Duration.ZERO
             while (true) {
+                // Asked anew each time: the first answers of a class come while others wait.
+                val floor = if (wish.isResume) Duration.ZERO else waitingRoom.floor(request.requestClass)
                 val left = exchange.remaining - floor
                 if (!wish.isResume && drain.mustHandOver(floor)) return shuttingDown().left()
                 val candidates = candidates()
@@ -136,8 +137,8 @@
 
         private fun candidates(): List<ListedServer> {
             val all = rings.of(request.requestClass, directory.candidates(request.requestClass))
-            val open = { it: ListedServer -> !loads.isAvoided(it.server.id) }
-            val untried = { it: ListedServer -> it.server.id !in wish.avoid && open(it) }
+            val open = { listed: ListedServer -> !loads.isAvoided(listed.server.id) }
+            val untried = { listed: ListedServer -> listed.server.id !in wish.avoid && open(listed) }
             return ordered(all, untried).ifEmpty { ordered(all, open) }
         }
 
@@ -159,7 +160,7 @@
             val shares = judge.shares(request.requestClass, route())
             val drawn = version?.takeIf { (shares[it] ?: 0.0) > 0.0 } ?: pick(shares) ?: return null
             version = drawn
-            val hasServers = { it: VersionName -> all.byVersion[it].orEmpty().any(accept) }
+            val hasServers = { name: VersionName -> all.byVersion[name].orEmpty().any(accept) }
             if (hasServers(drawn)) return drawn
             // A version with the larger share has more trust, so it may take over; never the other way round.
             return shares.keys.firstOrNull {
--- a/entry/src/main/kotlin/org/berylpoint/entry/stream/StreamSession.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/stream/StreamSession.kt
@@ -56,14 +56,16 @@
     suspend fun run() {
         try {
             var wish: Placer.Wish? = Placer.Wish()
-            while (wish != null) {
-                wish = if (isAtLimit()) finish("length") else start(wish)?.let { relay() }
-            }
+            while (wish != null) wish = attempt(wish)
         } finally {
             withContext(NonCancellable) { current?.end(parts.dispatcher, exchange, AttemptEnd.Abandoned) }
         }
     }
 
+    /** Makes one attempt; where the next one is wanted, or null when the caller has the whole answer. */
+    private suspend fun attempt(wish: Placer.Wish): Placer.Wish? =
+        if (isAtLimit()) finish("length") else start(wish)?.let { relay() }
+
     // All tokens that the caller allows were generated, and only the chunk that says so was lost.
     private fun isAtLimit() = chat.maxTokens?.let { text.tokens >= it } ?: false
 
--- a/policy/src/main/kotlin/org/berylpoint/policy/migration/AnswerLengths.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/migration/AnswerLengths.kt
@@ -11,8 +11,8 @@
     }
 
     /**
-     * Tokens that an answer with [generated] tokens has to come, at most [limit] - [generated]: the ninetieth percentile
-     * of the answers that were longer than this one is so far.
+     * Tokens that an answer with [generated] tokens has to come, at most [limit] - [generated]: by the ninetieth
+     * percentile of the answers that were longer than this one is so far.
      */
     public fun remaining(generated: Int, limit: Int?): Int {
         val longer = recent.filter { it > generated }.sorted()
