--- a/entry/src/main/kotlin/org/berylpoint/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/EntryNode.kt
@@ -70,7 +70,12 @@
 
     @Volatile
     private var isStopping = false
-    private val dumped: List<StateDump> = listOf(catalogue)
+    private val dumped: List<StateDump> = listOf(
+        catalogue,
+        memberDump { membership.view.value },
+        epochDump { epochs.current.value.values },
+        pipelineDump { serving.inFlight },
+    )
 
     init {
         listOf(table, catalogue, epochs, keeper, judge).forEach { membership.attach(it) }
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/EntryProcess.kt
@@ -87,7 +87,8 @@
         node.membership.view,
         node.dumps,
     ) { node.judge.shares(it, CHAT_ROUTE) }
-    private val admin = AdminServer(PrometheusRegistry.defaultRegistry, node.dumps, operator, node::unready)
+    private val metrics = PrometheusRegistry().also { nodeMetrics(node, it) }
+    private val admin = AdminServer(metrics, node.dumps, operator, node::unready)
     private val callers = CallerServer(self.id, sockets, time, node.catalogue, node.pipeline, limits)
 
     /** Starts all listeners and components. */
