Answer peers that ask for a dump

Cause: the node's routing of messages left FetchDump out, so an operator saw only the dump of the instance that answered. Ruled out: a fault in Dumps; its own tests pass.

--- a/entry/src/main/kotlin/org/berylpoint/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/EntryNode.kt
@@ -111,6 +111,7 @@
     private suspend fun handle(from: InstanceId, message: PeerMessage): PeerMessage = membership.handle(message)
         ?: keeper.handle(from, message)
         ?: catalogue.handle(from, message)
+        ?: dumps.handle(message)
         ?: (message as? PeerMessage.TakeOver)?.let { once.handle(it) }
         ?: (message as? PeerMessage.CrashNotice)?.let { judge.handle(it) }
         ?: (message as? PeerMessage.TableRelay)?.let { table.handle(it) }
