--- a/entry/src/main/kotlin/org/berylpoint/entry/member/DomainEpochs.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/member/DomainEpochs.kt
@@ -66,6 +66,7 @@
     private var lastRead: ComparableTimeMark? = null
     private var lastProbe: ComparableTimeMark? = null
     private var isReadWanted = true
+    private var heartbeats = 0
     private var isRowAbsent = false
     private var isLeaving = false
     private var unresolved: RowWrite.Put? = null
@@ -136,15 +137,17 @@
         return others.isEmpty() || others.any { (confirmations[it]?.epoch ?: 0) >= epoch }
     }
 
-    override fun fill(heartbeat: Heartbeat): Heartbeat = heartbeat.copy(
-        epochs = known.values
-            .filter { it.epoch.domain != domain || unresolved == null }
-            .map { EpochDigest(it.epoch.domain, it.epoch.epoch, it.membersToSend(), it.readAt.ageMillis()) },
-    )
-
-    // The lists were most of the bytes of a heartbeat; later heartbeats carry one now and then for newcomers.
-    private fun Known.membersToSend(): List<Instance>? =
-        epoch.members.takeIf { since.elapsedNow() < SPREAD_FOR || context.random.nextInt(RESEND_ONE_IN) == 0 }
+    override fun fill(heartbeat: Heartbeat): Heartbeat {
+        val isListDue = ++heartbeats % LIST_EVERY == 0
+        val told = known.values.filter { it.epoch.domain != domain || unresolved == null }
+        return heartbeat.copy(
+            epochs = told.map {
+                // The lists were most of the bytes of a heartbeat; later ones carry them now and then for newcomers.
+                val members = it.epoch.members.takeIf { _ -> isListDue || it.since.elapsedNow() < SPREAD_FOR }
+                EpochDigest(it.epoch.domain, it.epoch.epoch, members, it.readAt.ageMillis())
+            },
+        )
+    }
 
     override fun receive(heartbeat: Heartbeat, ageMillis: Long) {
         val limit = VALIDITY.inWholeMilliseconds
@@ -324,8 +327,8 @@
         // Several heartbeats to every member at today's sizes.
         private val SPREAD_FOR = 3.seconds
 
-        // With eight peers and two heartbeats a second a newcomer waits about a second.
-        private const val RESEND_ONE_IN = 16
+        // A prime, so that the turn comes to every peer; with eight peers a newcomer waits about a second.
+        private const val LIST_EVERY = 17
 
         /** Time for which a proof that an epoch is the newest holds. */
         public val VALIDITY: Duration = 6.seconds
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/proofs/LeavingServerTest.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/proofs/LeavingServerTest.kt
@@ -16,7 +16,7 @@
 class LeavingServerTest :
     FunSpec({
         fun proof(seed: Int, fault: suspend TestScope.(LoadSite) -> Unit) = runTest {
-            val site = LoadSite(this, seed, mapOf("a" to 3, "b" to 2), startsWarm = true, callers = 10)
+            val site = LoadSite(this, seed, mapOf("a" to 3, "b" to 2), startsWarm = true, callers = 20)
             delay(20.seconds)
             fault(site)
             site.instances.setStatus(BackendServerId("a-s1"), InstanceStatus.Leaving(30_000))
