--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/DecisionLog.kt
@@ -0,0 +1,39 @@
+package org.berylpoint.entry.gateway
+
+import net.logstash.logback.argument.StructuredArgument
+import net.logstash.logback.argument.StructuredArguments.kv
+import org.slf4j.LoggerFactory
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Structured log lines of decisions: one for each that touches a request or changes what the process believes.
+ *
+ * Failures are always written; successes are thinned to one in [successSample], so that the volume stays bounded under
+ * load. The appender behind it is asynchronous and drops lines rather than block.
+ */
+public class DecisionLog(private val successSample: Int = SUCCESS_SAMPLE) {
+    private val log = LoggerFactory.getLogger("berylpoint.decision")
+    private val successes = AtomicLong()
+
+    /** A decision about one request. */
+    public fun request(part: String, id: String, outcome: String, vararg inputs: Pair<String, Any?>) {
+        log.info("$part: request $outcome", *arguments(inputs, kv("request", id), kv("outcome", outcome)))
+    }
+
+    /** A request that was served; thinned. */
+    public fun served(id: String, vararg inputs: Pair<String, Any?>) {
+        if (successes.incrementAndGet() % successSample == 0L) request("flow", id, "served", *inputs)
+    }
+
+    /** A change of what the process believes, or of its own state. */
+    public fun belief(part: String, sentence: String, vararg inputs: Pair<String, Any?>) {
+        log.info("$part: $sentence", *arguments(inputs))
+    }
+
+    private fun arguments(inputs: Array<out Pair<String, Any?>>, vararg first: StructuredArgument): Array<Any> =
+        (first.toList() + inputs.map { (name, value) -> kv(name, value) }).toTypedArray()
+
+    private companion object {
+        const val SUCCESS_SAMPLE = 50
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/FrontServer.kt
@@ -0,0 +1,158 @@
+package org.berylpoint.entry.gateway.caller
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.Javalin
+import io.javalin.compression.CompressionStrategy
+import io.javalin.http.Context
+import io.javalin.http.HandlerType
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.runBlocking
+import org.berylpoint.entry.settings.GatewaySettings
+import org.berylpoint.entry.settings.SocketAddress
+import org.eclipse.jetty.http.UriCompliance
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+
+private val logger = KotlinLogging.logger {}
+
+/** What the HTTP server asks of the process behind it. */
+public class FrontHandlers(
+    public val serve: suspend (CallerExchange) -> Unit,
+    public val isReady: () -> Boolean,
+    /** Whether connections are to be closed after their next answer. */
+    public val mustClose: () -> Boolean,
+    public val dump: () -> String,
+    /** Largest body of a request, in bytes. */
+    public val maxBodyBytes: () -> Int,
+)
+
+/**
+ * The HTTP server of an entry instance: callers on one address, readiness on another, metrics and dump on a third.
+ *
+ * Each request in progress holds a thread, which writes the answer; the number of threads bounds the requests.
+ */
+public class FrontServer(
+    private val settings: GatewaySettings,
+    private val registry: PrometheusRegistry,
+    private val handlers: FrontHandlers,
+) : AutoCloseable {
+    private val connectors = mutableListOf<ServerConnector>()
+    private val javalin = Javalin.create { config ->
+        config.startup.showJavalinBanner = false
+        config.http.compressionStrategy = CompressionStrategy.NONE
+        config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
+        config.jetty.modifyServer { server ->
+            server.stopTimeout = 0
+            connectors += listOf(settings.callerAddress, settings.readyAddress, settings.metricsAddress)
+                .map { connector(server, it) }
+            server.connectors = connectors.toTypedArray()
+        }
+        for (method in METHODS) config.routes.addHttpHandler(method, "/", ::handle)
+        for (method in METHODS) config.routes.addHttpHandler(method, "/<path>", ::handle)
+    }
+
+    /** Opens the addresses. */
+    public fun start() {
+        javalin.start()
+    }
+
+    /** Sets how long a caller's connection may be idle. */
+    public fun setIdleTimeout(millis: Long) {
+        // A request in progress may be silent for as long as its answer takes.
+        connectors.firstOrNull()?.idleTimeout = millis + IDLE_SLACK_MILLIS
+    }
+
+    override fun close() {
+        javalin.stop()
+    }
+
+    private fun connector(server: Server, address: SocketAddress): ServerConnector {
+        val http = HttpConfiguration()
+        http.sendServerVersion = false
+        http.sendDateHeader = false
+        http.uriCompliance = UriCompliance.UNSAFE
+        http.requestHeaderSize = MAX_HEADER_BYTES
+        val connector = ServerConnector(server, 1, 1, HttpConnectionFactory(http))
+        connector.host = address.host
+        connector.port = address.port
+        connector.acceptQueueSize = ACCEPT_QUEUE
+        connector.idleTimeout = FIRST_IDLE_MILLIS
+        return connector
+    }
+
+    private fun handle(context: Context) {
+        when (context.req().localPort) {
+            settings.callerAddress.port -> serve(context)
+            settings.readyAddress.port -> context.status(if (handlers.isReady()) OK else UNAVAILABLE)
+            else -> admin(context)
+        }
+    }
+
+    private fun serve(context: Context) {
+        val limit = handlers.maxBodyBytes()
+        val body = try {
+            context.req().inputStream.readNBytes(limit + 1)
+        } catch (e: IOException) {
+            logger.debug { "http: a body ended early: ${e.message}" }
+            return
+        }
+        if (body.size > limit) {
+            context.status(TOO_LARGE)
+            return
+        }
+        val request = requestOf(context, body)
+        try {
+            runBlocking { handlers.serve(ServletExchange(request, context.req(), context.res(), handlers.mustClose)) }
+        } catch (e: IOException) {
+            logger.debug { "http: a connection ended: ${e.message}" }
+        }
+    }
+
+    private fun requestOf(context: Context, body: ByteArray): CallerRequest {
+        val request = context.req()
+        val headers = ArrayList<Pair<String, String>>()
+        for (name in request.headerNames) for (value in request.getHeaders(name)) headers += name to value
+        return CallerRequest(
+            method = request.method,
+            target = request.requestURI + request.queryString?.let { "?$it" }.orEmpty(),
+            host = request.getHeader("Host").orEmpty().substringBefore(':').lowercase(),
+            headers = headers,
+            body = body,
+        )
+    }
+
+    private fun admin(context: Context) {
+        when (context.path()) {
+            "/metrics" -> {
+                val out = ByteArrayOutputStream()
+                PrometheusTextFormatWriter.create().write(out, registry.scrape())
+                context.contentType("text/plain; version=0.0.4").result(out.toByteArray())
+            }
+            "/dump" -> context.contentType("application/json").result(handlers.dump())
+            else -> context.status(NOT_FOUND)
+        }
+    }
+
+    private companion object {
+        const val MAX_THREADS = 500
+        const val MIN_THREADS = 8
+        const val MAX_HEADER_BYTES = 32_768
+        const val ACCEPT_QUEUE = 512
+        const val FIRST_IDLE_MILLIS = 60_000L
+        const val IDLE_SLACK_MILLIS = 15_000L
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val TOO_LARGE = 413
+        const val UNAVAILABLE = 503
+        val METHODS = listOf(
+            HandlerType.GET, HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE,
+            HandlerType.HEAD, HandlerType.OPTIONS,
+        )
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
@@ -0,0 +1,134 @@
+package org.berylpoint.entry.gateway.duty
+
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.GatewayMetrics
+import org.berylpoint.entry.gateway.peers.PeerView
+import org.berylpoint.entry.gateway.site.SiteState
+import org.berylpoint.model.FailureDomain
+import org.berylpoint.model.serving.ScalingLimits
+import org.berylpoint.model.serving.Service
+import org.berylpoint.model.serving.ServiceName
+import org.berylpoint.peer.NodeReport
+import org.berylpoint.platform.cloud.CloudClient
+import org.berylpoint.platform.cloud.DutyHolder
+import org.berylpoint.policy.capacity.CapacityBounds
+import org.berylpoint.policy.capacity.CapacityPlan
+import org.berylpoint.policy.capacity.DemandMeter
+import org.berylpoint.policy.capacity.DomainSupply
+import org.berylpoint.policy.capacity.ServerDemand
+
+/** Orders servers for what callers ask, by domain and kind. */
+public class CapacityDuty(
+    private val cloud: CloudClient,
+    private val site: SiteState,
+    private val peers: PeerView,
+    private val clocks: Clocks,
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics,
+    private val ownReport: () -> NodeReport,
+) {
+    private data class Subject(val service: ServiceName, val domain: FailureDomain, val isReclaimable: Boolean)
+
+    private val ordered = HashMap<Subject, Int>()
+    private val shortUntil = HashMap<Pair<ServiceName, FailureDomain>, Long>()
+    private val meters = HashMap<ServiceName, DemandMeter>()
+
+    /** Takes in the demand seen so far; every instance does, so that a new holder knows it. */
+    public fun observe() {
+        for (service in scaled()) {
+            val parts = (peers.usageReports() + ownReport()).flatMap { report ->
+                report.demands.filter { it.service == service.name.value }.map { "${report.name}/${report.startedAtMillis}" to it }
+            }
+            val active = (peers.live + ownReport()).sumOf { report ->
+                val ids = site.view.servers.values.filter { it.entry.service == service.name }.map { it.entry.id.value }.toSet()
+                report.loads.filter { it.server in ids }.sumOf { it.active }
+            }
+            val sums = parts.associate { (process, part) -> process to part.promptTokens }
+            meters.getOrPut(service.name) { DemandMeter() }.add(sums, active, clocks.steady)
+        }
+        noticeReclaims()
+    }
+
+    /** Sends the orders that changed. */
+    public suspend fun step(holder: () -> DutyHolder?) {
+        for (service in scaled()) {
+            val limits = service.scaling ?: continue
+            val demand = meters[service.name]?.demand(clocks.steady) ?: continue
+            for (order in plan(service, limits, demand)) {
+                val warm = warmReclaimable(service, order.domain)
+                send(Subject(service.name, order.domain, true), order.reclaimable, holder)
+                // On-demand servers go only when reclaimable ones have taken their place.
+                val isReplaced = warm >= order.reclaimable
+                val subject = Subject(service.name, order.domain, false)
+                val present = present(service, order.domain, false)
+                val target = if (isReplaced || order.onDemand >= present) order.onDemand else maxOf(order.onDemand, ordered[subject] ?: present)
+                send(subject, target, holder)
+            }
+        }
+    }
+
+    private fun scaled(): List<Service> = site.view.config?.services?.values.orEmpty().filter { it.scaling != null }
+
+    private fun plan(service: Service, limits: ScalingLimits, demand: ServerDemand) = CapacityPlan.orders(
+        needed = demand.needed(service.engine?.batchSlots ?: DEFAULT_SLOTS),
+        base = demand.base(service.engine?.batchSlots ?: DEFAULT_SLOTS),
+        domains = limits.domainPrices.map { (domain, price) ->
+            val until = shortUntil[service.name to domain] ?: Long.MIN_VALUE
+            DomainSupply(domain, price, clocks.steady < until, domain in site.view.outOfService)
+        },
+        bounds = CapacityBounds(limits.min, limits.max, limits.reclaimablePriceShare != null),
+    )
+
+    private suspend fun send(subject: Subject, count: Int, holder: () -> DutyHolder?) {
+        val last = ordered[subject]
+        if (last == count || (last == null && count == 0 && subject.isReclaimable)) return
+        val acting = holder() ?: return
+        val result = cloud.orderServers(acting, subject.service, subject.domain, count, subject.isReclaimable)
+        log.belief(
+            "duty", "servers are ordered", "service" to subject.service.value, "domain" to subject.domain.name,
+            "count" to count, "before" to last, "reclaimable" to subject.isReclaimable, "token" to acting.fencingToken,
+            "outcome" to result.fold({ it.toString() }, { "status $it" }),
+        )
+        metrics.dutyCall("scaling", result.fold({ "error" }, { it.toString() }))
+        val status = result.getOrNull()
+        if (status == OK) ordered[subject] = count
+        if (status == NONE_AVAILABLE) shortUntil[subject.service to subject.domain] = clocks.steady + SHORT_MILLIS
+    }
+
+    /** A domain whose reclaimable servers drain without an order has none to give for a while. */
+    private fun noticeReclaims() {
+        for (server in site.view.servers.values) {
+            val entry = server.entry
+            if (!entry.isReclaimable || !entry.isDraining) continue
+            val key = entry.service to entry.domain
+            val subject = Subject(entry.service, entry.domain, true)
+            if (clocks.steady < (shortUntil[key] ?: Long.MIN_VALUE) || (ordered[subject] ?: 1) == 0) continue
+            if (present(site.view.config?.services?.get(entry.service) ?: continue, entry.domain, true) > 0) continue
+            shortUntil[key] = clocks.steady + RECLAIMED_MILLIS
+            ordered.remove(subject)
+            log.belief("duty", "reclaimable servers are taken back", "domain" to entry.domain.name, "service" to entry.service.value)
+        }
+    }
+
+    private fun present(service: Service, domain: FailureDomain, isReclaimable: Boolean): Int =
+        site.view.servers.values.count {
+            it.entry.service == service.name && it.entry.domain == domain && it.entry.isReclaimable == isReclaimable && !it.entry.isDraining
+        }
+
+    private fun warmReclaimable(service: Service, domain: FailureDomain): Int = site.view.usable(service.name).count {
+        it.entry.domain == domain && it.entry.isReclaimable && !it.isCold(clocks.steady)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NONE_AVAILABLE = 409
+        const val DEFAULT_SLOTS = 8
+
+        /** Time until reclaimable servers are ordered again where none were to be had. */
+        const val SHORT_MILLIS = 4_000L
+
+        /** The same after a domain's reclaimable servers were taken back. */
+        const val RECLAIMED_MILLIS = 6_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -0,0 +1,274 @@
+package org.berylpoint.entry.gateway.flow
+
+import kotlinx.coroutines.delay
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.GatewayMetrics
+import org.berylpoint.entry.gateway.caller.CallerExchange
+import org.berylpoint.entry.gateway.server.PlaceAnswer
+import org.berylpoint.entry.gateway.server.ServerClient
+import org.berylpoint.entry.gateway.server.ServerPlace
+import org.berylpoint.entry.gateway.server.ServerPool
+import org.berylpoint.entry.gateway.site.SiteState
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.model.ErrorKind
+import org.berylpoint.platform.wire.RequestHeaders
+import org.berylpoint.policy.placement.AttemptSignal
+import java.io.IOException
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Serves callers' requests: admission, choice of a server, attempts, and the answer. */
+public class RequestFlow(
+    private val clocks: Clocks,
+    site: SiteState,
+    private val pool: ServerPool,
+    private val client: ServerClient,
+    private val counts: SharedCounts,
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics,
+    random: Random,
+) {
+    private val admission = Admission(clocks, site, counts, random)
+    private val running = AtomicInteger()
+
+    /** Requests in progress. */
+    public val inFlight: Int get() = running.get()
+
+    /** Serves one request to its end. */
+    public suspend fun serve(exchange: CallerExchange) {
+        val arrived = clocks.steady
+        running.incrementAndGet()
+        try {
+            admission.admit(exchange.request, arrived).fold(
+                ifLeft = { refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), it, arrived) },
+                ifRight = { Serving(exchange, it).run() },
+            )
+        } catch (e: IOException) {
+            val id = exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty()
+            log.request("flow", id, "caller-gone", "cause" to e.message, "age" to clocks.steady - arrived)
+            metrics.ended("caller-gone", "", clocks.steady - arrived)
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private fun refuse(exchange: CallerExchange, id: String, refusal: Refusal, arrived: Long) {
+        val kind = refusal.kind
+        log.request(
+            "flow", id, "refused", "kind" to kind.name, "status" to kind.status, "cause" to refusal.cause,
+            "retryAfter" to refusal.retryAfterMillis, "age" to clocks.steady - arrived, "target" to exchange.request.target,
+        )
+        metrics.ended(kind.name, exchange.request.path.substringBeforeLast('/'), clocks.steady - arrived)
+        val headers = buildList {
+            if (id.isNotEmpty()) add(RequestHeaders.REQUEST_ID to id)
+            refusal.retryAfterMillis?.let { add(RequestHeaders.RETRY_AFTER to "%.2f".format(it / MILLIS)) }
+            add("Content-Type" to "text/plain")
+        }
+        exchange.answer(kind.status, headers, (kind.title + "\n").encodeToByteArray())
+    }
+
+    /** One request on its way through servers. */
+    private inner class Serving(private val exchange: CallerExchange, private val request: AdmittedRequest) {
+        private val tried = HashSet<BackendServerId>()
+        private val progress = AnswerProgress()
+
+        /** Attempts that ran or may have run. */
+        private var runs = 0
+        private var sends = 0
+        private var failure = "no attempt was made"
+
+        suspend fun run() {
+            val crashes = counts.crashesOf(request.fingerprint)
+            if (crashes >= MAX_CRASHES) {
+                giveUp(ErrorKind.NoCapacity, "the request broke $crashes connections to servers", QUARANTINE_WAIT_MILLIS)
+                return
+            }
+            admission.charge(request)?.let {
+                refuse(exchange, request.id, it, request.arrivedAtMillis)
+                return
+            }
+            counts.first(request.service.name, request.tokens?.prompt ?: 0, request.tokens?.output ?: 0)
+            while (attempt()) Unit
+        }
+
+        /** Makes one attempt; true when another one is to follow. */
+        private suspend fun attempt(): Boolean {
+            val place = findPlace() ?: return false
+            val exchangeWithServer = client.send(
+                place.server.entry.id, place.server.entry.address, request.forServer(place, remainingMillis(), progress),
+            )
+            sends++
+            tried += place.server.entry.id
+            val attempt = ServerAttempt(exchange, request, place, exchangeWithServer, progress, clocks)
+            val end = try {
+                attempt.run { started(place) }
+            } catch (e: IOException) {
+                exchangeWithServer.cancel()
+                pool.release(place, null)
+                throw e
+            }
+            return conclude(place, end)
+        }
+
+        private fun started(place: ServerPlace) {
+            pool.started(place)
+            progress.firstEventMillis = progress.firstEventMillis ?: (clocks.steady - request.arrivedAtMillis)
+            countRun()
+        }
+
+        private fun countRun() {
+            if (progress.isCounted) return
+            progress.isCounted = true
+            request.workspace?.let { counts.began(it.workspace) }
+        }
+
+        private fun conclude(place: ServerPlace, end: AttemptEnd): Boolean {
+            val entry = place.server.entry
+            pool.release(place, signalOf(end))
+            if (end !is AttemptEnd.NotRun) {
+                runs++
+                if (!request.isStream && end !is AttemptEnd.CallerLeft) countRun()
+                if (end !is AttemptEnd.CallerLeft) counts.outcome(request.service.name, entry.version, end is AttemptEnd.Complete)
+            }
+            if (end is AttemptEnd.Complete) {
+                served(place, end)
+                return false
+            }
+            failure = end.toString()
+            log.request(
+                "flow", request.id, "attempt-failed", "server" to entry.id.value, "revision" to place.server.revision,
+                "cause" to failure, "age" to age(), "sends" to sends, "lastEvent" to progress.lastEventId,
+                "expected" to place.expectedMillis.toLong(), "age-at-send" to place.takenAtMillis - request.arrivedAtMillis,
+            )
+            metrics.attemptFailed(end::class.simpleName.orEmpty())
+            return when (end) {
+                is AttemptEnd.Broke -> {
+                    if (end.isConnectionLost) counts.crashed(request.fingerprint)
+                    afterFailure()
+                }
+                is AttemptEnd.Error -> if (mayRunAgain()) true else passOn(end)
+                is AttemptEnd.NotRun -> afterNotRun(end)
+                is AttemptEnd.TimedOut -> {
+                    finalFailure(ErrorKind.DeadlineExceeded)
+                    false
+                }
+                is AttemptEnd.CallerLeft -> throw IOException("the caller left")
+                is AttemptEnd.Complete -> false
+            }
+        }
+
+        private fun afterFailure(): Boolean {
+            if (mayRunAgain()) return true
+            finalFailure(ErrorKind.BackendFailed)
+            return false
+        }
+
+        private fun mayRunAgain(): Boolean = request.route.isIdempotent && runs < request.route.maxAttempts &&
+            !progress.isBrokenEvent && remainingMillis() > MIN_USEFUL_MILLIS && counts.tryRetry(request.service.name)
+
+        private fun afterNotRun(end: AttemptEnd.NotRun): Boolean {
+            val mayResend = sends < request.route.maxAttempts + EXTRA_SENDS && remainingMillis() > MIN_USEFUL_MILLIS
+            if (mayResend && (!end.isArrived || counts.tryRetry(request.service.name))) return true
+            if (runs > 0) finalFailure(ErrorKind.BackendFailed) else giveUp(ErrorKind.NoCapacity, end.toString(), REFUSED_WAIT_MILLIS)
+            return false
+        }
+
+        /** Gives the server's failure to the caller as it is, unless its status would promise that nothing ran. */
+        private fun passOn(end: AttemptEnd.Error): Boolean {
+            if (progress.isBegun || end.status in PROMISES) {
+                finalFailure(ErrorKind.BackendFailed)
+            } else {
+                exchange.answer(end.status, end.headers, end.body)
+                ended("server-error")
+            }
+            return false
+        }
+
+        private fun finalFailure(kind: ErrorKind) {
+            if (progress.isBegun) {
+                exchange.abort()
+                ended("broken-off")
+            } else {
+                refuse(exchange, request.id, Refusal(kind, failure), request.arrivedAtMillis)
+            }
+        }
+
+        private fun giveUp(kind: ErrorKind, cause: String, waitMillis: Long) {
+            counts.refused(request.service.name)
+            refuse(exchange, request.id, Refusal(kind, cause, waitMillis), request.arrivedAtMillis)
+        }
+
+        /** Waits for a place as long as that can still be of use to the caller; null when the request has ended. */
+        private suspend fun findPlace(): ServerPlace? {
+            val patience = clocks.steady + request.route.targetLatencyMillis / WAIT_PART
+            while (true) {
+                if (exchange.isGone()) throw IOException("the caller left")
+                val wait = when (val answer = pool.take(request.service, request.demand, tried)) {
+                    is PlaceAnswer.Given -> return answer.place
+                    is PlaceAnswer.Full -> answer.waitMillis
+                    is PlaceAnswer.NoServer -> NO_SERVER_WAIT_MILLIS
+                }
+                val now = clocks.steady
+                if (now >= patience || wait > patience - now || remainingMillis() < MIN_USEFUL_MILLIS) {
+                    if (runs > 0 || progress.isBegun) {
+                        finalFailure(ErrorKind.BackendFailed)
+                    } else {
+                        giveUp(ErrorKind.NoCapacity, "no place within ${request.route.targetLatencyMillis} ms", wait)
+                    }
+                    return null
+                }
+                delay(minOf(wait, RECHECK_MILLIS).milliseconds)
+            }
+        }
+
+        private fun served(place: ServerPlace, end: AttemptEnd.Complete) {
+            if (progress.isBegun) exchange.end() else exchange.answer(end.status, end.headers, end.body)
+            log.served(
+                request.id, "server" to place.server.entry.id.value, "route" to request.route.name, "age" to age(),
+                "first" to progress.firstEventMillis, "expected" to place.expectedMillis.toLong(), "sends" to sends,
+                "wait" to place.takenAtMillis - request.arrivedAtMillis,
+            )
+            ended("served")
+        }
+
+        private fun ended(outcome: String) =
+            metrics.ended(outcome, request.route.name, progress.firstEventMillis ?: age())
+
+        private fun age() = clocks.steady - request.arrivedAtMillis
+
+        private fun remainingMillis() = request.deadlineMillis - clocks.steady
+    }
+
+    private fun signalOf(end: AttemptEnd): AttemptSignal? = when (end) {
+        is AttemptEnd.Complete -> AttemptSignal.GOOD
+        is AttemptEnd.Error, is AttemptEnd.Broke -> AttemptSignal.FAILED
+        is AttemptEnd.NotRun -> if (end.isArrived) AttemptSignal.REFUSED else AttemptSignal.UNREACHABLE
+        is AttemptEnd.TimedOut -> AttemptSignal.FAILED.takeIf { end.wasSilent }
+        is AttemptEnd.CallerLeft -> null
+    }
+
+    private companion object {
+        const val MILLIS = 1000.0
+
+        /** Connections that one request may break at all instances together. */
+        const val MAX_CRASHES = 3
+        const val QUARANTINE_WAIT_MILLIS = 30_000L
+
+        /** Sends beyond the route's attempts that servers refused without running. */
+        const val EXTRA_SENDS = 1
+
+        /** A request with less time left is not sent. */
+        const val MIN_USEFUL_MILLIS = 30L
+
+        /** Part of the target latency that a request may wait for a place. */
+        const val WAIT_PART = 8
+        const val RECHECK_MILLIS = 20L
+        const val NO_SERVER_WAIT_MILLIS = 500L
+        const val REFUSED_WAIT_MILLIS = 200L
+
+        /** Statuses that tell a caller that the request has not run. */
+        val PROMISES = setOf(408, 421, 429, 503)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -0,0 +1,117 @@
+package org.berylpoint.entry.gateway.flow
+
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.peers.PeerView
+import org.berylpoint.entry.settings.GatewayBounds
+import org.berylpoint.model.VersionName
+import org.berylpoint.model.Workspace
+import org.berylpoint.model.serving.ServiceName
+import org.berylpoint.model.serving.WorkspacePolicy
+import org.berylpoint.peer.DemandPart
+import org.berylpoint.peer.NodeReport
+import org.berylpoint.peer.VersionPart
+import org.berylpoint.peer.WindowPart
+import org.berylpoint.policy.duty.UsageWindows
+import org.berylpoint.policy.quota.UsageCap
+import org.berylpoint.policy.retry.RetryShare
+
+/** Counts of this process that bind together with those of the other instances: caps, retries, usage, crashes. */
+public class SharedCounts(
+    private val clocks: Clocks,
+    private val peers: PeerView,
+    private val bounds: GatewayBounds,
+) {
+    private class DemandSum(var prompt: Long = 0, var output: Long = 0, var refused: Long = 0)
+    private class OutcomeSum(var good: Long = 0, var bad: Long = 0)
+
+    private val caps = HashMap<Workspace, UsageCap>()
+    private val admitted = HashMap<String, Double>()
+    private val retries = HashMap<ServiceName, RetryShare>()
+    private val usage = UsageWindows(bounds.usageWindowMillis)
+    private val crashes = LinkedHashMap<String, Int>()
+    private val demands = HashMap<ServiceName, DemandSum>()
+    private val outcomes = HashMap<Pair<ServiceName, VersionName>, OutcomeSum>()
+
+    /** Admits [cost] of [policy]'s cap; null if admitted, else the milliseconds until the cap has room. */
+    @Synchronized
+    public fun admit(policy: WorkspacePolicy, cost: Double): Long? {
+        val cap = caps.getOrPut(policy.workspace) { UsageCap(clocks.steady) }
+        if (!cap.tryTake(cost, policy.ratePerSecond, policy.burst, peers.heardShare(), clocks.steady)) {
+            return cap.waitMillis(policy.ratePerSecond)
+        }
+        admitted.merge(policy.workspace.name, cost, Double::plus)
+        return null
+    }
+
+    /** Takes in what another instance admitted since its last report. */
+    @Synchronized
+    public fun remoteAdmitted(report: NodeReport) {
+        for ((name, cost) in report.admitted) {
+            if (cost > 0) caps.getOrPut(Workspace(name)) { UsageCap(clocks.steady) }.takeRemote(cost)
+        }
+    }
+
+    /** Counts the first attempt of a request of [service], and what it asks for. */
+    @Synchronized
+    public fun first(service: ServiceName, promptTokens: Long, outputTokens: Long) {
+        retriesOf(service).first(clocks.steady)
+        val sum = demands.getOrPut(service) { DemandSum() }
+        sum.prompt += promptTokens
+        sum.output += outputTokens
+    }
+
+    /** Counts a request of [service] that was refused for lack of servers. */
+    @Synchronized
+    public fun refused(service: ServiceName) {
+        demands.getOrPut(service) { DemandSum() }.refused++
+    }
+
+    /** Takes one retry out of the budget of [service]. */
+    @Synchronized
+    public fun tryRetry(service: ServiceName): Boolean =
+        retriesOf(service).tryRetry(clocks.steady, peers.live.size + 1)
+
+    /** Counts a request of [workspace] that began to run now. */
+    @Synchronized
+    public fun began(workspace: Workspace) {
+        usage.add(workspace, clocks.steady + peers.wallOffset())
+    }
+
+    /** Counts the end of an attempt at a server of [version]. */
+    @Synchronized
+    public fun outcome(service: ServiceName, version: VersionName, isGood: Boolean) {
+        val sum = outcomes.getOrPut(service to version) { OutcomeSum() }
+        if (isGood) sum.good++ else sum.bad++
+    }
+
+    /** Counts a connection to a server that broke while it ran the request with [fingerprint]. */
+    @Synchronized
+    public fun crashed(fingerprint: String) {
+        crashes.merge(fingerprint, 1, Int::plus)
+        if (crashes.size > MAX_FINGERPRINTS) crashes.remove(crashes.keys.first())
+    }
+
+    /** How often the request with [fingerprint] broke connections at any instance. */
+    @Synchronized
+    public fun crashesOf(fingerprint: String): Int =
+        (crashes[fingerprint] ?: 0) + peers.live.sumOf { it.crashes[fingerprint] ?: 0 }
+
+    /** Fills the counters into [report]. */
+    @Synchronized
+    public fun fill(report: NodeReport): NodeReport = report.copy(
+        admitted = admitted.toMap(),
+        usage = usage.snapshot().map { (window, counts) -> WindowPart(window, counts.mapKeys { it.key.name }) },
+        outcomes = outcomes.map { (key, sum) -> VersionPart(key.first.value, key.second.value, sum.good, sum.bad) },
+        crashes = crashes.entries.toList().takeLast(REPORTED_FINGERPRINTS).associate { it.key to it.value },
+        demands = demands.map { (service, sum) -> DemandPart(service.value, sum.prompt, sum.output, sum.refused) },
+    )
+
+    private fun retriesOf(service: ServiceName) = retries.getOrPut(service) {
+        RetryShare(bounds.retryRatio, bounds.retrySlack, bounds.retryWindowMillis)
+    }
+
+    private companion object {
+        const val MAX_FINGERPRINTS = 500
+        const val REPORTED_FINGERPRINTS = 20
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReports.kt
@@ -0,0 +1,95 @@
+package org.berylpoint.entry.gateway.peers
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.peer.NodeReport
+import org.berylpoint.peer.ReportSocket
+import org.berylpoint.platform.store.RowWrite
+import org.berylpoint.platform.store.StoreClient
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Where an entry instance receives reports, as it stands in the store. */
+@Serializable
+internal data class PeerRow(val address: String)
+
+/**
+ * Sends this instance's report to all others several times a second and takes in theirs.
+ *
+ * An instance writes its own row first and then reads all rows, so of two that start at the same time at least one
+ * finds the other; the other one learns it from the report.
+ */
+internal class PeerReports(
+    private val self: String,
+    private val address: String,
+    private val store: StoreClient,
+    private val view: PeerView,
+    private val clocks: Clocks,
+    private val log: DecisionLog,
+    private val report: (sequence: Long) -> NodeReport,
+    private val onReport: (NodeReport) -> Unit,
+) {
+    private var sequence = 0L
+
+    suspend fun start(scope: CoroutineScope) {
+        val socket = ReportSocket.open(address)
+        socket.receive(scope) { received -> view.accept(received)?.let(onReport) }
+        scope.launch { announce() }
+        scope.launch {
+            while (true) {
+                view.expire()
+                val addresses = view.addresses()
+                socket.send(report(++sequence), addresses)
+                delay(interval(addresses.size))
+            }
+        }
+    }
+
+    private suspend fun announce() {
+        var isWritten = false
+        var wait = FIRST_RETRY
+        while (true) {
+            if (!isWritten) {
+                val value = Json.encodeToString(PeerRow.serializer(), PeerRow(address)).encodeToByteArray()
+                store.commit(emptyList(), listOf(RowWrite(TABLE, self, value))).fold(
+                    ifLeft = { log.belief("peer", "the own row was not written", "cause" to it) },
+                    ifRight = { isWritten = true },
+                )
+            }
+            if (isWritten && readRows()) return
+            delay(wait)
+            wait = minOf(wait * 2, LONGEST_RETRY)
+        }
+    }
+
+    private suspend fun readRows(): Boolean = store.read(TABLE).fold(
+        ifLeft = {
+            log.belief("peer", "the rows of instances were not read", "cause" to it)
+            false
+        },
+        ifRight = { rows ->
+            for (row in rows.rows) {
+                runCatching { Json.decodeFromString(PeerRow.serializer(), row.value.decodeToString()) }
+                    .onSuccess { view.add(row.key, it.address) }
+                    .onFailure { log.belief("peer", "a row of an instance can't be read", "key" to row.key) }
+            }
+            true
+        },
+    )
+
+    private companion object {
+        const val TABLE = "instances"
+        val FIRST_RETRY = 300.milliseconds
+        val LONGEST_RETRY = 3.seconds
+        val SHORTEST_INTERVAL = 250.milliseconds
+
+        /** Longer with many instances, so that one instance's datagrams grow no faster than their number. */
+        fun interval(peers: Int): Duration = maxOf(SHORTEST_INTERVAL, (8 * peers).milliseconds)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -0,0 +1,124 @@
+package org.berylpoint.entry.gateway.peers
+
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.peer.NodeReport
+import org.berylpoint.policy.duty.medianOffset
+
+/** The newest report of each other instance, and what follows from them. Instances that were not heard yet count. */
+public class PeerView(private val self: String, private val clocks: Clocks, private val log: DecisionLog) {
+    /** One process of another instance. */
+    private class Peer(
+        val name: String,
+        var address: String,
+        var report: NodeReport?,
+        var heardAtMillis: Long,
+        /** The peer's time of day against this process's steady clock. */
+        var offsetMillis: Long,
+    )
+
+    private val peers = HashMap<String, Peer>()
+
+    /** Usage reports of processes that have ended; they still count in their windows. */
+    private val ended = ArrayDeque<NodeReport>()
+
+    @Volatile
+    private var fresh: List<NodeReport> = emptyList()
+
+    /** Adds an instance that the store names. */
+    @Synchronized
+    public fun add(name: String, address: String) {
+        if (name == self) return
+        val peer = peers[name]
+        if (peer == null) peers[name] = Peer(name, address, null, clocks.steady, 0) else peer.address = address
+    }
+
+    /** Takes in [report] and gives what it adds to the sender's earlier counters; null if it is an old one. */
+    @Synchronized
+    public fun accept(report: NodeReport): NodeReport? {
+        if (report.name == self) return null
+        val now = clocks.steady
+        val peer = peers.getOrPut(report.name) { Peer(report.name, report.address, null, now, 0) }
+        val last = peer.report
+        if (last != null && !isNewer(report, last)) return null
+        if (last != null && last.startedAtMillis != report.startedAtMillis) keepEnded(last)
+        if (last == null || now - peer.heardAtMillis > SILENT_MILLIS) {
+            log.belief("peer", "an instance is heard", "peer" to report.name, "address" to report.address)
+        }
+        val earlier = last?.takeIf { it.startedAtMillis == report.startedAtMillis }
+        peer.report = report
+        peer.address = report.address
+        peer.heardAtMillis = now
+        peer.offsetMillis = report.wallMillis - now
+        refresh(now)
+        val before = earlier?.admitted.orEmpty()
+        return report.copy(admitted = report.admitted.mapValues { (name, sum) -> sum - (before[name] ?: 0.0) })
+    }
+
+    /** Drops what has been silent for long, and refreshes the list of live peers. */
+    @Synchronized
+    public fun expire() {
+        val now = clocks.steady
+        for (peer in peers.values.toList()) {
+            val silence = now - peer.heardAtMillis
+            if (silence > FORGOTTEN_MILLIS) {
+                peer.report?.let(::keepEnded)
+                peers.remove(peer.name)
+                log.belief("peer", "an instance is forgotten", "peer" to peer.name, "silence" to silence)
+            }
+        }
+        refresh(now)
+    }
+
+    /** Newest reports of the instances heard lately. */
+    public val live: List<NodeReport> get() = fresh
+
+    /** Addresses to which reports go. */
+    @Synchronized
+    public fun addresses(): List<String> = peers.values.map { it.address }
+
+    /** Names of all instances known, this one included. */
+    @Synchronized
+    public fun names(): Set<String> = peers.keys + self
+
+    /** Share of the known instances that are heard, this one included; 1 when all are. */
+    @Synchronized
+    public fun heardShare(): Double = (fresh.size + 1.0) / (peers.size + 1.0)
+
+    /** Offset from the steady clock to true time. */
+    @Synchronized
+    public fun wallOffset(): Long {
+        val now = clocks.steady
+        val others = peers.values.filter { it.report != null && now - it.heardAtMillis < SILENT_MILLIS }
+        return medianOffset(others.map { it.offsetMillis } + (clocks.wall - now))
+    }
+
+    /** Every usage report known, of live and ended processes. */
+    @Synchronized
+    public fun usageReports(): List<NodeReport> = peers.values.mapNotNull { it.report } + ended
+
+    /** Whether each known instance that still lives was heard since [steadyMillis]. */
+    @Synchronized
+    public fun allHeardSince(steadyMillis: Long): Boolean = peers.values.all { it.heardAtMillis >= steadyMillis }
+
+    private fun refresh(now: Long) {
+        fresh = peers.values.filter { now - it.heardAtMillis < SILENT_MILLIS }.mapNotNull { it.report }
+    }
+
+    private fun isNewer(report: NodeReport, last: NodeReport): Boolean =
+        report.startedAtMillis != last.startedAtMillis || report.sequence > last.sequence
+
+    private fun keepEnded(report: NodeReport) {
+        ended.addLast(report)
+        while (ended.size > MAX_ENDED) ended.removeFirst()
+    }
+
+    private companion object {
+        /** An instance without a report for this long may be down or cut off. */
+        const val SILENT_MILLIS = 1_500L
+
+        /** An instance without a report for this long is taken to be gone for good. */
+        const val FORGOTTEN_MILLIS = 20_000L
+        const val MAX_ENDED = 64
+    }
+}
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -10,7 +10,10 @@
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
+import org.berylpoint.entry.gateway.GatewayProcess
+import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.entry.settings.NodeSettings
+import sun.misc.Signal
 import java.io.File
 import java.util.concurrent.CountDownLatch
 
@@ -18,7 +21,7 @@
 internal class BerylpointCommand : CliktCommand(name = "berylpoint") {
     init {
         versionOption(VERSION)
-        subcommands(RunCommand(), CheckCommand())
+        subcommands(RunCommand(), ServeCommand(), CheckCommand())
     }
 
     override fun help(context: Context): String = """
@@ -54,6 +57,33 @@
     }
 }
 
+/** Runs on the operators' platform until SIGTERM, then stops gracefully. */
+private class ServeCommand : CliktCommand(name = "serve") {
+    private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
+
+    override fun help(context: Context): String =
+        "Runs an entry instance on the operators' platform. Example: berylpoint serve --settings entry.ini"
+
+    override fun run() {
+        val values = GatewaySettings.read(settings).fold(
+            ifLeft = { faults ->
+                faults.forEach { echo(it.toString(), err = true) }
+                throw ProgramResult(1)
+            },
+            ifRight = { it },
+        )
+        val process = GatewayProcess(values, System::currentTimeMillis)
+        val stopped = CountDownLatch(1)
+        // The runtime would end the process at once on either signal.
+        Signal.handle(Signal("HUP")) { process.reload(settings) }
+        Signal.handle(Signal("TERM")) { stopped.countDown() }
+        process.start()
+        stopped.await()
+        process.stop()
+        Runtime.getRuntime().halt(0)
+    }
+}
+
 /** Checks a settings file and talks to nothing. */
 private class CheckCommand : CliktCommand(name = "check") {
     private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -0,0 +1,133 @@
+package org.berylpoint.entry.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.apache.commons.configuration2.ex.ConfigurationException
+import org.berylpoint.model.FailureDomain
+import java.io.File
+import java.io.IOException
+
+/** Settings of an entry instance that serves on the operators' platform. */
+public data class GatewaySettings(
+    val instance: String,
+    val domain: FailureDomain,
+    val domains: List<FailureDomain>,
+    val callerAddress: SocketAddress,
+    val readyAddress: SocketAddress,
+    val reportAddress: SocketAddress,
+    val metricsAddress: SocketAddress,
+    /** Time from SIGTERM to SIGKILL. */
+    val graceSeconds: Long,
+    /** IP number and port. */
+    val storeAddress: String,
+    /** IP number and port; null where no duty is to be done. */
+    val cloudAddress: String?,
+    val bounds: GatewayBounds,
+) {
+    public companion object {
+        /** Reads an INI file, or gives every fault in it. */
+        public fun read(file: File): Either<List<SettingFault>, GatewaySettings> {
+            val ini = try {
+                IniFile.parse(file.readText().removePrefix("\uFEFF"))
+            } catch (e: IOException) {
+                return listOf(SettingFault(file.path, 0, "the file", file.path, "a readable file (${e.message})")).left()
+            } catch (e: ConfigurationException) {
+                return listOf(SettingFault(file.path, 0, "the file", file.path, "INI (${e.message})")).left()
+            }
+            return GatewaySettingsReader(file.path, ini).read()
+        }
+    }
+}
+
+/** Bounds that the platform's operators set. */
+public data class GatewayBounds(
+    /** Time after which a leaving server gets no new request. */
+    val drainMillis: Long,
+    /** Shortest time between acts of one holder of a duty, with another holder's act in between. */
+    val leaseMillis: Long,
+    val usageWindowMillis: Long,
+    /** Time after the end of a window in which its usage is due. */
+    val usageLateMillis: Long,
+    /** Retries of a service over its requests, in each window of [retryWindowMillis]. */
+    val retryRatio: Double,
+    val retrySlack: Double,
+    val retryWindowMillis: Long,
+)
+
+private class GatewaySettingsReader(private val file: String, private val ini: IniFile) {
+    private val faults = mutableListOf<SettingFault>()
+    private val known = mutableSetOf<Pair<String, String>>()
+
+    fun read(): Either<List<SettingFault>, GatewaySettings> {
+        val instance = required("instance", "id", SettingType.name)
+        val domain = required("instance", "failure-domain", SettingType.name)
+        val domains = optional("instance", "failure-domains", SettingType.nameList).orEmpty()
+        val caller = required("instance", "caller-address", SettingType.dialAddress)
+        val ready = required("instance", "ready-address", SettingType.dialAddress)
+        val report = required("instance", "report-address", SettingType.dialAddress)
+        val metrics = required("instance", "metrics-address", SettingType.dialAddress)
+        val grace = optional("instance", "grace-seconds", SettingType.number(1L..600L, "seconds")) ?: DEFAULT_GRACE
+        val store = required("platform", "store-address", SettingType.dialAddress)
+        val cloud = optional("platform", "cloud-address", SettingType.dialAddress)
+        val bounds = bounds()
+        if (faults.isNotEmpty()) return faults.left()
+        return GatewaySettings(
+            instance = instance!!,
+            domain = FailureDomain(domain!!),
+            domains = domains.map(::FailureDomain).ifEmpty { listOf(FailureDomain(domain)) },
+            callerAddress = caller!!,
+            readyAddress = ready!!,
+            reportAddress = report!!,
+            metricsAddress = metrics!!,
+            graceSeconds = grace,
+            storeAddress = store!!.toString(),
+            cloudAddress = cloud?.toString(),
+            bounds = bounds,
+        ).right()
+    }
+
+    private fun bounds() = GatewayBounds(
+        drainMillis = whole("drain-millis", 2_000),
+        leaseMillis = whole("lease-millis", 3_000),
+        usageWindowMillis = whole("usage-window-seconds", 5) * MILLIS,
+        usageLateMillis = whole("usage-late-seconds", 10) * MILLIS,
+        retryRatio = optional("bounds", "retry-ratio", DECIMAL) ?: 0.1,
+        retrySlack = optional("bounds", "retry-slack", DECIMAL) ?: 10.0,
+        retryWindowMillis = whole("retry-window-seconds", 10) * MILLIS,
+    )
+
+    private fun whole(name: String, default: Long): Long =
+        optional("bounds", name, SettingType.number(0L..MAX_WHOLE, "units of its name")) ?: default
+
+    private fun <T> required(section: String, name: String, type: SettingType<T>): T? {
+        val value = optional(section, name, type)
+        if (value == null && textOf(section, name).isNullOrEmpty()) {
+            faults += SettingFault(file, 0, "[$section] $name", "absent", type.description)
+        }
+        return value
+    }
+
+    private fun <T> optional(section: String, name: String, type: SettingType<T>): T? {
+        known += section to name
+        val entry = ini.entries.firstOrNull { it.section == section && it.key == name } ?: return null
+        if (entry.value.isEmpty()) return null
+        return type.parse(entry.value).fold(
+            ifLeft = { expected ->
+                faults += SettingFault(file, entry.line, "[$section] $name", entry.value, expected)
+                null
+            },
+            ifRight = { it },
+        )
+    }
+
+    private fun textOf(section: String, name: String): String? =
+        ini.entries.firstOrNull { it.section == section && it.key == name }?.value
+
+    private companion object {
+        const val MILLIS = 1_000L
+        const val DEFAULT_GRACE = 8L
+        const val MAX_WHOLE = 1_000_000L
+        val DECIMAL = SettingType("a number of 0 or more") { it.toDoubleOrNull()?.takeIf { n -> n >= 0 } }
+    }
+}
--- a/model/src/main/kotlin/org/berylpoint/model/ErrorKind.kt
+++ b/model/src/main/kotlin/org/berylpoint/model/ErrorKind.kt
@@ -25,6 +25,8 @@
     InvalidCatalogue(422, RunState.NOT_RUN, false, "the catalogue update is not valid"),
     Quarantined(422, RunState.NOT_RUN, false, "the request crashed the backend servers that ran it"),
     Overloaded(429, RunState.NOT_RUN, true, "no capacity within the deadline"),
+    CapExceeded(429, RunState.NOT_RUN, true, "the workspace has used up its cap"),
+    NoCapacity(503, RunState.NOT_RUN, true, "no backend server can start the request in time"),
     NoBackend(503, RunState.NOT_RUN, true, "no backend server is available"),
     StoreUnavailable(503, RunState.NOT_RUN, true, "the table service is unavailable"),
     ShuttingDown(503, RunState.NOT_RUN, true, "the instance is shutting down"),
--- /dev/null
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -0,0 +1,85 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.berylpoint.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborLabel
+
+/**
+ * What one entry instance tells the others several times a second, in one datagram.
+ *
+ * Counters only grow within a process, so a lost report is made up for by the next one.
+ */
+@Serializable
+public data class NodeReport(
+    @CborLabel(1) val name: String,
+    @CborLabel(2) val domain: String,
+    /** Wall clock at the start of the process; tells processes of one machine apart. */
+    @CborLabel(3) val startedAtMillis: Long,
+    @CborLabel(4) val sequence: Long,
+    /** The sender's time of day. */
+    @CborLabel(5) val wallMillis: Long,
+    @CborLabel(6) val configVersion: Long = 0,
+    @CborLabel(7) val loads: List<LoadPart> = emptyList(),
+    /** Tokens or requests admitted, by workspace. */
+    @CborLabel(8) val admitted: Map<String, Double> = emptyMap(),
+    @CborLabel(9) val usage: List<WindowPart> = emptyList(),
+    @CborLabel(10) val outcomes: List<VersionPart> = emptyList(),
+    /** Fingerprints of requests that broke connections to servers, with the number of times. */
+    @CborLabel(11) val crashes: Map<String, Int> = emptyMap(),
+    @CborLabel(12) val demands: List<DemandPart> = emptyList(),
+    /** Fencing number of the duty lease that the sender holds; 0 when it holds none. */
+    @CborLabel(13) val dutyToken: Long = 0,
+    @CborLabel(14) val isLeaving: Boolean = false,
+    /** IP number and port on which the sender receives reports. */
+    @CborLabel(15) val address: String = "",
+    /** Newest store revisions that the sender has applied, by table. */
+    @CborLabel(16) val revisions: Map<String, Long> = emptyMap(),
+)
+
+/** The sender's requests at one server. */
+@Serializable
+public data class LoadPart(
+    @CborLabel(1) val server: String,
+    @CborLabel(2) val active: Int,
+    @CborLabel(3) val pendingTokens: Long,
+)
+
+/** Requests that began to run in one usage window, by workspace. */
+@Serializable
+public data class WindowPart(@CborLabel(1) val window: Long, @CborLabel(2) val counts: Map<String, Long>)
+
+/** Outcomes of one version of a service that is being rolled out. */
+@Serializable
+public data class VersionPart(
+    @CborLabel(1) val service: String,
+    @CborLabel(2) val version: String,
+    @CborLabel(3) val good: Long,
+    @CborLabel(4) val bad: Long,
+)
+
+/** What callers asked of one service so far. */
+@Serializable
+public data class DemandPart(
+    @CborLabel(1) val service: String,
+    @CborLabel(2) val promptTokens: Long,
+    @CborLabel(3) val outputTokens: Long,
+    @CborLabel(4) val refused: Long,
+)
+
+/** Codec of [NodeReport]; integer labels keep a report within one packet. */
+public object NodeReportCodec {
+    private val cbor = Cbor {
+        ignoreUnknownKeys = true
+        encodeDefaults = false
+        preferCborLabelsOverNames = true
+        encodeKeyTags = false
+    }
+
+    public fun encode(report: NodeReport): ByteArray = cbor.encodeToByteArray(NodeReport.serializer(), report)
+
+    /** The report in [bytes]; throws [kotlinx.serialization.SerializationException] if they are malformed. */
+    public fun decode(bytes: ByteArray): NodeReport = cbor.decodeFromByteArray(NodeReport.serializer(), bytes)
+}
--- /dev/null
+++ b/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
@@ -0,0 +1,112 @@
+package org.berylpoint.policy.placement
+
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.policy.Rendezvous
+
+/** What is known of one server that could take a request. */
+public data class Candidate(
+    val id: BackendServerId,
+    val isLocal: Boolean,
+    /** Requests in progress there, from all instances as far as known. */
+    val active: Int,
+    /** Prompt tokens sent there whose first event has not come back. */
+    val pendingTokens: Long,
+    /** Requests that it runs at the same time. */
+    val slots: Int,
+    /** Tokens that it reads in a millisecond, as observed. */
+    val tokensPerMilli: Double,
+    /** Factor on its estimated delay; above 1 for a server that was slower than others of its service. */
+    val slowness: Double,
+)
+
+/** What a request asks of a server. */
+public data class Demand(
+    /** Prompt tokens; 0 for a plain request. */
+    val promptTokens: Long,
+    /** The cached parts' owner: requests with the same key share all but the last part of their prompts. */
+    val affinityKey: String?,
+    /** Tokens of the shared parts. */
+    val sharedTokens: Long,
+    /** Time within which the first event counts as on time, in milliseconds. */
+    val targetMillis: Long,
+    /** Rank, 0 being the most urgent. */
+    val priority: Int,
+)
+
+/** Where a request goes. */
+public sealed interface Choice {
+    public data class Send(val server: BackendServerId, val expectedMillis: Double) : Choice
+
+    /** No server can start it in time; the earliest one that could needs [waitMillis]. */
+    public data class Full(val waitMillis: Long) : Choice
+
+    /** There is no candidate at all. */
+    public data object NoServer : Choice
+}
+
+/**
+ * Chooses the server with the least expected delay until the first event.
+ *
+ * The delay of an engine is the time to read the prompts that wait there and the part of this prompt that its cache
+ * lacks. Requests with the same shared parts prefer one server by rendezvous hashing, so every instance finds the cache
+ * without being told where it is; a busy preferred server gives way as soon as reading the parts again is cheaper.
+ */
+public object ServerChoice {
+    /** Chooses among [candidates]. */
+    public fun choose(demand: Demand, candidates: List<Candidate>): Choice {
+        if (candidates.isEmpty()) return Choice.NoServer
+        val preferred = demand.affinityKey?.let { key ->
+            Rendezvous.ranked(key, candidates) { it.id.value }.take(COPIES).map { it.id }
+        }.orEmpty()
+        val best = candidates.minBy { delayMillis(demand, it, preferred) + tieBreak(it) }
+        val delay = delayMillis(demand, best, preferred)
+        val room = candidates.filter { it.active < slotLimit(it, demand) }
+        if (room.isEmpty()) return Choice.Full(FULL_WAIT_MILLIS)
+        val chosen = if (best in room) best else room.minBy { delayMillis(demand, it, preferred) + tieBreak(it) }
+        val expected = if (chosen === best) delay else delayMillis(demand, chosen, preferred)
+        val limit = demand.targetMillis * patience(demand.priority)
+        if (expected > limit) return Choice.Full((expected - limit).toLong().coerceAtLeast(MIN_WAIT_MILLIS))
+        return Choice.Send(chosen.id, expected)
+    }
+
+    private fun delayMillis(demand: Demand, server: Candidate, preferred: List<BackendServerId>): Double {
+        val cached = if (server.id in preferred) demand.sharedTokens else 0
+        val tokens = server.pendingTokens + (demand.promptTokens - cached).coerceAtLeast(0)
+        val reading = tokens / server.tokensPerMilli
+        val sharing = server.active.toDouble() / server.slots * SHARING_MILLIS
+        return (reading + sharing) * server.slowness
+    }
+
+    // A server of another domain costs transfer; a fuller one costs the others that run there.
+    private fun tieBreak(server: Candidate): Double = if (server.isLocal) 0.0 else REMOTE_MILLIS
+
+    /** Requests that may be in progress at [server]; urgent ones may use the server's queue. */
+    private fun slotLimit(server: Candidate, demand: Demand): Int {
+        val queue = if (demand.priority == 0) URGENT_QUEUE_SHARE else QUEUE_SHARE
+        return (server.slots * (1 + queue)).toInt().coerceAtLeast(server.slots + 1)
+    }
+
+    private fun patience(priority: Int): Double = when (priority) {
+        0 -> URGENT_PATIENCE
+        1 -> NORMAL_PATIENCE
+        else -> LOW_PATIENCE
+    }
+
+    /** Servers on which the cache of one key is looked for. */
+    private const val COPIES = 1
+
+    /** Delay that a full batch adds to the steps of a new request. */
+    private const val SHARING_MILLIS = 30.0
+    private const val REMOTE_MILLIS = 3.0
+
+    /** Share of a server's slots that may wait in its own queue. */
+    private const val QUEUE_SHARE = 0.1
+    private const val URGENT_QUEUE_SHARE = 0.3
+
+    /** Expected delay, as a share of the target, up to which a request is sent. Less urgent ones give way first. */
+    private const val URGENT_PATIENCE = 2.0
+    private const val NORMAL_PATIENCE = 1.5
+    private const val LOW_PATIENCE = 1.0
+    private const val FULL_WAIT_MILLIS = 300L
+    private const val MIN_WAIT_MILLIS = 100L
+}
