Hand over every event of an answer, and compare feeds by their own rows

Ruled out: loss at the server, whose runs ended 200 with the whole stream. Change: select with onTimeout; feeds report the revision of their newest row.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
@@ -61,7 +61,7 @@
             else -> policy.plainTokens.toDouble()
         }
         val wait = counts.admit(policy, cost) ?: return null
-        return Refusal(ErrorKind.CapExceeded, "the cap of ${policy.workspace} is used up", wait)
+        return Refusal(ErrorKind.CapExceeded, "the cap of ${policy.workspace}, ${policy.ratePerSecond} a second and ${policy.burst}, is used up by $cost", wait)
     }
 
     private fun workspaceOf(caller: CallerRequest, config: ServingConfig): WorkspacePolicy? {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -1,6 +1,5 @@
 package org.berylpoint.entry.gateway.flow
 
-import kotlinx.coroutines.withTimeoutOrNull
 import org.berylpoint.entry.gateway.Clocks
 import org.berylpoint.entry.gateway.caller.CallerExchange
 import org.berylpoint.entry.gateway.server.ServerEvent
@@ -74,7 +73,7 @@
             if (now >= request.deadlineMillis) return cancelled(AttemptEnd.TimedOut(!hasStarted))
             if (isSilent(now)) return cancelled(AttemptEnd.Broke(false, "silent for ${now - heardAtMillis} ms"))
             val wait = minOf(CHECK_MILLIS, request.deadlineMillis - now)
-            val event = withTimeoutOrNull(wait.milliseconds) { server.next() }
+            val event = server.next(wait.milliseconds)
             if (event == null) {
                 if (exchange.isGone()) return cancelled(AttemptEnd.CallerLeft)
                 continue
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
@@ -1,7 +1,10 @@
 package org.berylpoint.entry.gateway.server
 
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.trySendBlocking
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
@@ -20,6 +23,7 @@
 import java.io.IOException
 import java.net.Proxy
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
@@ -131,8 +135,12 @@
     Callback {
     private val events = Channel<ServerEvent>(BUFFERED_EVENTS)
 
-    override suspend fun next(): ServerEvent =
-        events.receiveCatching().getOrNull() ?: ServerEvent.Failed(true, "no more events")
+    // Unlike withTimeout around receive, select never loses an event that arrives as the time runs out.
+    @OptIn(ExperimentalCoroutinesApi::class)
+    override suspend fun next(wait: Duration): ServerEvent? = select {
+        events.onReceiveCatching { it.getOrNull() ?: ServerEvent.Failed(true, "no more events") }
+        onTimeout(wait) { null }
+    }
 
     override fun cancel() {
         events.cancel()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerExchange.kt
@@ -1,6 +1,7 @@
 package org.berylpoint.entry.gateway.server
 
 import org.berylpoint.model.BackendServerId
+import kotlin.time.Duration
 
 /** A request as it goes to a backend server: method, target and body are the caller's, byte for byte. */
 public class ServerRequest(
@@ -38,8 +39,8 @@
 
 /** One request in progress at a server. */
 public interface ServerExchange {
-    /** Waits for the next event. */
-    public suspend fun next(): ServerEvent
+    /** Waits at most [wait] for the next event; null when there is none yet. No event is lost in between. */
+    public suspend fun next(wait: Duration): ServerEvent?
 
     /** Ends the request at once; the server sees its connection close. */
     public fun cancel()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -128,7 +128,7 @@
             return
         }
         view = view.copy(servers = (view.servers + (id to KnownServer(entry, clocks.steady, row.revision))).toPersistentMap())
-        if (known?.entry != entry) {
+        if (known?.entry?.copy(coldRemainingMillis = 0) != entry.copy(coldRemainingMillis = 0)) {
             log.belief(
                 "site",
                 if (entry.isDraining) "a server drains" else "a server is known",
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -27,9 +27,9 @@
     private val operators = TableFeed(StoreNames.OPERATORS, state::replaceOperators, state::updateOperators)
     private val servers = TableFeed(StoreNames.SERVERS, state::replaceServers, state::updateServers)
 
-    /** Newest revision applied, by table. */
+    /** Revision of the newest row applied, by table. */
     public val revisions: Map<String, Long>
-        get() = mapOf(operators.table to operators.revision, servers.table to servers.revision)
+        get() = mapOf(operators.table to operators.rowRevision, servers.table to servers.rowRevision)
 
     /** Runs until [scope] ends. */
     public fun start(scope: CoroutineScope): Job = scope.launch {
@@ -53,8 +53,11 @@
         private val replace: (List<StoreRow>) -> Unit,
         private val update: (List<StoreRow>) -> Unit,
     ) {
+        private var revision = 0L
+
+        /** Unlike [revision], which counts writes to any table, this one shows whether a change of this table is missing. */
         @Volatile
-        var revision = 0L
+        var rowRevision = 0L
         private var isKnown = false
         private var failures = 0
         private val behind = Channel<Unit>(Channel.CONFLATED)
@@ -88,12 +91,17 @@
                 // A read that lags behind what is known would take rows back.
                 if (it.revision < revision) return StoreError.NotDone("a read as of ${it.revision}, known is $revision")
                 replace(it.rows)
+                noteRows(it.rows)
                 revision = it.revision
                 isKnown = true
                 null
             },
         )
 
+        private fun noteRows(rows: List<StoreRow>) {
+            rowRevision = maxOf(rowRevision, rows.maxOfOrNull { it.revision } ?: 0)
+        }
+
         private suspend fun follow(): StoreError? {
             val wait = if (failures > 0) Duration.ZERO else longestWait()
             val answer = coroutineScope {
@@ -129,6 +137,7 @@
 
         private fun applied(rows: org.berylpoint.platform.store.StoreRows): StoreError? {
             update(rows.rows)
+            noteRows(rows.rows)
             revision = maxOf(revision, rows.revision)
             return null
         }
