Judge caps by the window, and order servers for what warm reclaimable ones do not carry

Change: a sliding window with an estimate of what reports do not show yet; demand counts as the highest of 10 s, on-demand servers fill the gap.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
@@ -16,7 +16,6 @@
 import org.berylpoint.policy.capacity.CapacityPlan
 import org.berylpoint.policy.capacity.DemandMeter
 import org.berylpoint.policy.capacity.DomainSupply
-import org.berylpoint.policy.capacity.ServerDemand
 
 /** Orders servers for what callers ask, by domain and kind. */
 public class CapacityDuty(
@@ -32,6 +31,7 @@
 
     private val ordered = HashMap<Subject, Int>()
     private val shortUntil = HashMap<Pair<ServiceName, FailureDomain>, Long>()
+    private val shrinkingSince = HashMap<Subject, Long>()
     private val meters = HashMap<ServiceName, DemandMeter>()
 
     /** Takes in the demand seen so far; every instance does, so that a new holder knows it. */
@@ -54,34 +54,32 @@
     public suspend fun step(holder: () -> DutyHolder?) {
         for (service in scaled()) {
             val limits = service.scaling ?: continue
-            val demand = meters[service.name]?.demand(clocks.steady) ?: continue
-            for (order in plan(service, limits, demand)) {
-                val warm = warmReclaimable(service, order.domain)
+            val needed = meters[service.name]?.demand()?.needed(service.engine?.batchSlots ?: DEFAULT_SLOTS)
+            for (order in plan(service, limits, needed ?: expected(service))) {
                 send(Subject(service.name, order.domain, true), order.reclaimable, holder)
-                // On-demand servers go only when reclaimable ones have taken their place.
-                val isReplaced = warm >= order.reclaimable
-                val subject = Subject(service.name, order.domain, false)
-                val present = present(service, order.domain, false)
-                val target = if (isReplaced || order.onDemand >= present) order.onDemand else maxOf(order.onDemand, ordered[subject] ?: present)
-                send(subject, target, holder)
+                if (needed != null) send(Subject(service.name, order.domain, false), order.onDemand, holder)
             }
         }
     }
 
+    /** Before there is any load, part of the servers that were set up are taken to be needed. */
+    private fun expected(service: Service): Double =
+        site.view.usable(service.name).count { !it.entry.isReclaimable } * EXPECTED_SHARE
+
     private fun scaled(): List<Service> = site.view.config?.services?.values.orEmpty().filter { it.scaling != null }
 
-    private fun plan(service: Service, limits: ScalingLimits, demand: ServerDemand) = CapacityPlan.orders(
-        needed = demand.needed(service.engine?.batchSlots ?: DEFAULT_SLOTS),
-        base = demand.base(service.engine?.batchSlots ?: DEFAULT_SLOTS),
+    private fun plan(service: Service, limits: ScalingLimits, needed: Double) = CapacityPlan.orders(
+        needed = needed,
         domains = limits.domainPrices.map { (domain, price) ->
             val until = shortUntil[service.name to domain] ?: Long.MIN_VALUE
-            DomainSupply(domain, price, clocks.steady < until, domain in site.view.outOfService)
+            DomainSupply(domain, price, warmReclaimable(service, domain), clocks.steady < until, domain in site.view.outOfService)
         },
         bounds = CapacityBounds(limits.min, limits.max, limits.reclaimablePriceShare != null),
     )
 
     private suspend fun send(subject: Subject, count: Int, holder: () -> DutyHolder?) {
         val last = ordered[subject]
+        if (isTooEarlyToShrink(subject, count)) return
         if (last == count || (last == null && count == 0 && subject.isReclaimable)) return
         val acting = holder() ?: return
         val result = cloud.orderServers(acting, subject.service, subject.domain, count, subject.isReclaimable)
@@ -96,6 +94,16 @@
         if (status == NONE_AVAILABLE) shortUntil[subject.service to subject.domain] = clocks.steady + SHORT_MILLIS
     }
 
+    /** Fewer servers are ordered only when fewer were enough for a while. */
+    private fun isTooEarlyToShrink(subject: Subject, count: Int): Boolean {
+        val last = ordered[subject] ?: Int.MAX_VALUE
+        if (count >= last) {
+            shrinkingSince.remove(subject)
+            return false
+        }
+        return clocks.steady - shrinkingSince.getOrPut(subject) { clocks.steady } < SHRINK_MILLIS
+    }
+
     /** A domain whose reclaimable servers drain without an order has none to give for a while. */
     private fun noticeReclaims() {
         for (server in site.view.servers.values) {
@@ -124,11 +132,13 @@
         const val OK = 200
         const val NONE_AVAILABLE = 409
         const val DEFAULT_SLOTS = 8
+        const val EXPECTED_SHARE = 0.5
+        const val SHRINK_MILLIS = 2_000L
 
         /** Time until reclaimable servers are ordered again where none were to be had. */
-        const val SHORT_MILLIS = 4_000L
+        const val SHORT_MILLIS = 2_000L
 
         /** The same after a domain's reclaimable servers were taken back. */
-        const val RECLAIMED_MILLIS = 6_000L
+        const val RECLAIMED_MILLIS = 4_000L
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
@@ -55,11 +55,7 @@
     /** Takes the request's cost out of its workspace's cap; null when it is within the cap. */
     fun charge(request: AdmittedRequest): Refusal? {
         val policy = request.workspace ?: return null
-        val cost = when {
-            !policy.countsTokens -> 1.0
-            request.tokens != null -> request.tokens.total.toDouble()
-            else -> policy.plainTokens.toDouble()
-        }
+        val cost = request.capCost
         val wait = counts.admit(policy, cost) ?: return null
         return Refusal(ErrorKind.CapExceeded, "the cap of ${policy.workspace}, ${policy.ratePerSecond} a second and ${policy.burst}, is used up by $cost", wait)
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
@@ -30,6 +30,14 @@
         priority = route.priority,
     )
 
+    /** What the request takes of its workspace's cap. */
+    val capCost: Double
+        get() = when {
+            workspace?.countsTokens != true -> 1.0
+            tokens != null -> tokens.total.toDouble()
+            else -> workspace.plainTokens.toDouble()
+        }
+
     /** Rank in a server's queue: the workspace's priority goes before the route's. */
     val serverPriority: Int
         get() = ((workspace?.priority ?: 0) * PRIORITY_STEP + route.priority).coerceIn(0, LOWEST_PRIORITY)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -77,6 +77,7 @@
         /** Attempts that ran or may have run. */
         private var runs = 0
         private var sends = 0
+        private var isCharged = false
         private var failure = "no attempt was made"
 
         suspend fun run() {
@@ -89,6 +90,7 @@
                 refuse(exchange, request.id, it, request.arrivedAtMillis)
                 return
             }
+            isCharged = true
             counts.first(request.service.name, request.tokens?.prompt ?: 0, request.tokens?.output ?: 0)
             while (attempt()) Unit
         }
@@ -197,6 +199,7 @@
 
         private fun giveUp(kind: ErrorKind, cause: String, waitMillis: Long) {
             counts.refused(request.service.name)
+            if (isCharged) request.workspace?.let { counts.giveBack(it, request.capCost) }
             refuse(exchange, request.id, Refusal(kind, cause, waitMillis), request.arrivedAtMillis)
         }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -35,19 +35,28 @@
     /** Admits [cost] of [policy]'s cap; null if admitted, else the milliseconds until the cap has room. */
     @Synchronized
     public fun admit(policy: WorkspacePolicy, cost: Double): Long? {
-        val cap = caps.getOrPut(policy.workspace) { UsageCap(clocks.steady) }
-        if (!cap.tryTake(cost, policy.ratePerSecond, policy.burst, peers.heardShare(), clocks.steady)) {
-            return cap.waitMillis(policy.ratePerSecond)
+        val cap = caps.getOrPut(policy.workspace) { UsageCap(bounds.capTolerance) }
+        val share = peers.heardShare()
+        val delay = peers.reportDelayMillis()
+        if (!cap.tryTake(cost, policy.ratePerSecond, policy.burst, share, delay, clocks.steady)) {
+            return cap.waitMillis(policy.ratePerSecond, policy.burst, share, clocks.steady)
         }
         admitted.merge(policy.workspace.name, cost, Double::plus)
         return null
     }
 
+    /** Gives back what [admit] took for a request that did not run. */
+    @Synchronized
+    public fun giveBack(policy: WorkspacePolicy, cost: Double) {
+        caps[policy.workspace]?.giveBack(cost, clocks.steady)
+        admitted.merge(policy.workspace.name, -cost, Double::plus)
+    }
+
     /** Takes in what another instance admitted since its last report. */
     @Synchronized
     public fun remoteAdmitted(report: NodeReport) {
         for ((name, cost) in report.admitted) {
-            if (cost > 0) caps.getOrPut(Workspace(name)) { UsageCap(clocks.steady) }.takeRemote(cost)
+            if (cost != 0.0) caps.getOrPut(Workspace(name)) { UsageCap(bounds.capTolerance) }.takeRemote(cost, clocks.steady)
         }
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReports.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReports.kt
@@ -11,7 +11,6 @@
 import org.berylpoint.peer.ReportSocket
 import org.berylpoint.platform.store.RowWrite
 import org.berylpoint.platform.store.StoreClient
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -46,7 +45,7 @@
                 view.expire()
                 val addresses = view.addresses()
                 socket.send(report(++sequence), addresses)
-                delay(interval(addresses.size))
+                delay(PeerView.reportIntervalMillis(addresses.size).milliseconds)
             }
         }
     }
@@ -87,9 +86,5 @@
         const val TABLE = "instances"
         val FIRST_RETRY = 300.milliseconds
         val LONGEST_RETRY = 3.seconds
-        val SHORTEST_INTERVAL = 250.milliseconds
-
-        /** Longer with many instances, so that one instance's datagrams grow no faster than their number. */
-        fun interval(peers: Int): Duration = maxOf(SHORTEST_INTERVAL, (8 * peers).milliseconds)
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -85,6 +85,10 @@
     @Synchronized
     public fun heardShare(): Double = (fresh.size + 1.0) / (peers.size + 1.0)
 
+    /** Usual age of the newest report of another instance. */
+    @Synchronized
+    public fun reportDelayMillis(): Long = reportIntervalMillis(peers.size)
+
     /** Offset from the steady clock to true time. */
     @Synchronized
     public fun wallOffset(): Long {
@@ -113,12 +117,18 @@
         while (ended.size > MAX_ENDED) ended.removeFirst()
     }
 
-    private companion object {
+    public companion object {
+        private const val SHORTEST_INTERVAL_MILLIS = 250L
+        private const val INTERVAL_PER_PEER_MILLIS = 8L
+
+        /** Time between reports; longer with many peers, so that an instance sends no more datagrams with each. */
+        public fun reportIntervalMillis(peers: Int): Long = maxOf(SHORTEST_INTERVAL_MILLIS, INTERVAL_PER_PEER_MILLIS * peers)
+
         /** An instance without a report for this long may be down or cut off. */
-        const val SILENT_MILLIS = 1_500L
+        private const val SILENT_MILLIS = 1_500L
 
         /** An instance without a report for this long is taken to be gone for good. */
-        const val FORGOTTEN_MILLIS = 20_000L
-        const val MAX_ENDED = 64
+        private const val FORGOTTEN_MILLIS = 20_000L
+        private const val MAX_ENDED = 64
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import org.apache.commons.configuration2.ex.ConfigurationException
 import org.berylpoint.model.FailureDomain
+import org.berylpoint.policy.quota.CapTolerance
 import java.io.File
 import java.io.IOException
 
@@ -53,6 +54,7 @@
     val retryRatio: Double,
     val retrySlack: Double,
     val retryWindowMillis: Long,
+    val capTolerance: CapTolerance,
 )
 
 private class GatewaySettingsReader(private val file: String, private val ini: IniFile) {
@@ -95,6 +97,11 @@
         retryRatio = optional("bounds", "retry-ratio", DECIMAL) ?: 0.1,
         retrySlack = optional("bounds", "retry-slack", DECIMAL) ?: 10.0,
         retryWindowMillis = whole("retry-window-seconds", 10) * MILLIS,
+        capTolerance = CapTolerance(
+            windowMillis = whole("cap-window-seconds", 8) * MILLIS,
+            over = optional("bounds", "cap-over", DECIMAL) ?: 0.0,
+            slack = optional("bounds", "cap-slack", DECIMAL) ?: 0.0,
+        ),
     )
 
     private fun whole(name: String, default: Long): Long =
--- a/policy/src/main/kotlin/org/berylpoint/policy/capacity/DemandMeter.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/capacity/DemandMeter.kt
@@ -1,34 +1,29 @@
 package org.berylpoint.policy.capacity
 
-import kotlin.math.ceil
-
 /** What callers ask of a service at present. */
-public data class ServerDemand(val promptTokensPerSecond: Double, val active: Double, val peakActive: Double) {
-    /** Servers that carry the demand with room for its usual swings. */
-    public fun needed(slots: Int): Int {
-        val byTokens = promptTokensPerSecond / TOKENS_PER_SERVER_SECOND
-        val byActive = peakActive / (slots * SLOT_SHARE)
-        return ceil(maxOf(byTokens, byActive) * HEADROOM).toInt().coerceAtLeast(MIN_SERVERS)
-    }
-
-    /** Servers of those that have to survive a reclaim. */
-    public fun base(slots: Int): Int = ceil(needed(slots) * BASE_SHARE).toInt()
+public data class ServerDemand(val promptTokensPerSecond: Double, val active: Double) {
+    /** Servers that are busy as planned under this demand. */
+    public fun needed(slots: Int): Double =
+        maxOf(promptTokensPerSecond / TOKENS_PER_SERVER_SECOND, active / (slots * SLOT_SHARE), MIN_SERVERS)
 
     private companion object {
         /** Prompt tokens that one server reads in a second beside its other work, without delaying it much. */
         const val TOKENS_PER_SERVER_SECOND = 40_000.0
         const val SLOT_SHARE = 0.5
-        const val HEADROOM = 1.3
-        const val MIN_SERVERS = 3
-        const val BASE_SHARE = 0.5
+        const val MIN_SERVERS = 2.0
     }
 }
 
-/** Averages the demand for a service over a few seconds, from counters of all processes. */
+/**
+ * Measures the demand for a service from counters of all processes.
+ *
+ * Demand counts as the highest of the last seconds: servers take seconds to start, and a wave comes back.
+ */
 public class DemandMeter {
     private class Sample(val atMillis: Long, val tokens: Double, val active: Int)
 
     private val samples = ArrayDeque<Sample>()
+    private val peaks = ArrayDeque<Pair<Long, ServerDemand>>()
     private val last = HashMap<String, Long>()
     private var total = 0.0
 
@@ -39,24 +34,28 @@
             last[process] = sum
         }
         samples.addLast(Sample(nowMillis, total, active))
-        while (samples.size > 1 && nowMillis - samples.first().atMillis > WINDOW_MILLIS) samples.removeFirst()
+        while (samples.size > 1 && nowMillis - samples.first().atMillis > RATE_WINDOW_MILLIS) samples.removeFirst()
+        current(nowMillis)?.let { peaks.addLast(nowMillis to it) }
+        while (peaks.isNotEmpty() && nowMillis - peaks.first().first > PEAK_WINDOW_MILLIS) peaks.removeFirst()
     }
 
     /** The demand, or null before there was any. */
-    public fun demand(nowMillis: Long): ServerDemand? {
-        if (samples.size < 2 || total == 0.0) return null
+    public fun demand(): ServerDemand? {
+        if (peaks.isEmpty()) return null
+        return ServerDemand(peaks.maxOf { it.second.promptTokensPerSecond }, peaks.maxOf { it.second.active })
+    }
+
+    private fun current(nowMillis: Long): ServerDemand? {
         val first = samples.first()
-        val seconds = (nowMillis - first.atMillis).coerceAtLeast(MIN_SPAN_MILLIS) / MILLIS
-        return ServerDemand(
-            promptTokensPerSecond = (total - first.tokens) / seconds,
-            active = samples.sumOf { it.active }.toDouble() / samples.size,
-            peakActive = samples.maxOf { it.active }.toDouble(),
-        )
+        val seconds = (nowMillis - first.atMillis) / MILLIS
+        if (total == 0.0 || seconds * MILLIS < MIN_SPAN_MILLIS) return null
+        return ServerDemand((total - first.tokens) / seconds, samples.sumOf { it.active }.toDouble() / samples.size)
     }
 
     private companion object {
-        const val WINDOW_MILLIS = 8_000L
-        const val MIN_SPAN_MILLIS = 2_000L
+        const val RATE_WINDOW_MILLIS = 3_000L
+        const val PEAK_WINDOW_MILLIS = 10_000L
+        const val MIN_SPAN_MILLIS = 1_500L
         const val MILLIS = 1000.0
     }
 }
