--- /dev/null
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
@@ -0,0 +1,162 @@
+package org.berylpoint.entry.gateway.flow
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.GatewayMetrics
+import org.berylpoint.entry.gateway.caller.CallerExchange
+import org.berylpoint.entry.gateway.caller.CallerRequest
+import org.berylpoint.entry.gateway.peers.PeerView
+import org.berylpoint.entry.gateway.server.ServerClient
+import org.berylpoint.entry.gateway.server.ServerEvent
+import org.berylpoint.entry.gateway.server.ServerExchange
+import org.berylpoint.entry.gateway.server.ServerPool
+import org.berylpoint.entry.gateway.server.ServerRequest
+import org.berylpoint.entry.gateway.site.SiteState
+import org.berylpoint.entry.settings.GatewayBounds
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.model.FailureDomain
+import org.berylpoint.platform.store.StoreRow
+import org.berylpoint.policy.quota.CapTolerance
+import java.io.IOException
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One step of what a server sends: an event after a delay. */
+internal data class Step(val afterMillis: Long, val event: ServerEvent)
+
+/** The whole serving path of one instance in virtual time, with servers that follow scripts. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class FlowScene(scope: TestScope, servers: Int = 3, slots: Int = 4) {
+    private val clocks = Clocks(scope.testScheduler.timeSource) { scope.testScheduler.currentTime }
+    private val log = DecisionLog()
+    val site = SiteState(clocks, log)
+    val peers = PeerView("self", clocks, log)
+    val counts = SharedCounts(clocks, peers, BOUNDS)
+    private val random = Random(1)
+    val pool = ServerPool("self", FailureDomain("a"), clocks, site, peers, { _, _ -> null }, random)
+
+    /** Requests in the order in which they were sent to servers, with the server's id. */
+    val sent = mutableListOf<Pair<String, ServerRequest>>()
+    val cancelled = mutableListOf<String>()
+
+    /** Scripts of the sends to come, in order; the last one stays. */
+    val scripts = ArrayDeque<List<Step>>()
+
+    private val client = ServerClient { id, _, request ->
+        sent += id.value to request
+        Scripted(id, if (scripts.size > 1) scripts.removeFirst() else scripts.first())
+    }
+    val flow = RequestFlow(clocks, site, pool, client, counts, log, GatewayMetrics(PrometheusRegistry()), random)
+
+    init {
+        site.replaceOperators(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
+        site.replaceServers((1..servers).map { StoreRow("servers", "s$it", entry("10.0.0.$it:80", slots), it + 1L) })
+    }
+
+    private inner class Scripted(private val id: BackendServerId, script: List<Step>) : ServerExchange {
+        private val left = ArrayDeque(script)
+        private var waited = 0L
+
+        override suspend fun next(wait: Duration): ServerEvent? {
+            val step = left.firstOrNull()
+            val due = step?.let { it.afterMillis - waited } ?: Long.MAX_VALUE
+            if (due > wait.inWholeMilliseconds) {
+                delay(wait)
+                waited += wait.inWholeMilliseconds
+                return null
+            }
+            delay(due.coerceAtLeast(0).milliseconds)
+            waited = 0
+            return left.removeFirst().event
+        }
+
+        override fun cancel() {
+            cancelled += id.value
+        }
+    }
+
+    companion object {
+        val BOUNDS = GatewayBounds(2_000, 3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0))
+
+        private const val CONFIG = """{"version":5,"routes":[
+            {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":120,
+             "priority":2,"service":"plain","attempts":2,"public":false},
+            {"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout_ms":600,"target_latency_ms":120,
+             "priority":2,"service":"plain","attempts":2,"public":false},
+            {"name":"chat","host":"h","prefix":"/chat/","kind":"streaming","timeout_ms":10000,"target_latency_ms":300,
+             "gap_aim_ms":300,"priority":0,"service":"plain","attempts":1,"public":false,"resumable":false},
+            {"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":12000,"target_latency_ms":800,
+             "gap_aim_ms":300,"priority":1,"service":"plain","attempts":2,"public":false,"resumable":true}],
+            "services":[{"name":"plain","health_path":"/health","max_conns":100}],
+            "limits":{"max_body_bytes":1000},
+            "tenants":[{"name":"w","api_keys":["k"],"unit":"token_stream","plain_tokens":1,"rate_per_s":100,"burst":100}]}"""
+
+        fun entry(address: String, slots: Int = 4, state: String = "ready", extra: String = "") =
+            ("""{"service":"plain","address":"$address","zone":"a","version":"v1","slots":$slots,"state":"$state",""" +
+                """"cold_remaining_ms":0,"sequence":1,"born":7$extra}""").encodeToByteArray()
+    }
+}
+
+/** A caller that keeps what it got. */
+internal class RecordingCaller(
+    path: String,
+    method: String = "POST",
+    headers: List<Pair<String, String>> = emptyList(),
+    private val goneAt: (() -> Boolean) = { false },
+) : CallerExchange {
+    override val request = CallerRequest(
+        method, path, "h",
+        listOf("X-Berylpoint-Request-Id" to "r1", "Authorization" to "Bearer k") + headers, ByteArray(0),
+    )
+    var status = 0
+    var headers = emptyList<Pair<String, String>>()
+    val body = StringBuilder()
+    var isComplete = false
+    var isAborted = false
+
+    fun header(name: String) = headers.firstOrNull { it.first == name }?.second
+
+    override fun isGone() = goneAt()
+
+    override fun answer(status: Int, headers: List<Pair<String, String>>, body: ByteArray) {
+        begin(status, headers)
+        write(body)
+        end()
+    }
+
+    override fun begin(status: Int, headers: List<Pair<String, String>>) {
+        check(this.status == 0) { "a second answer" }
+        this.status = status
+        this.headers = headers
+    }
+
+    override fun write(bytes: ByteArray) {
+        body.append(bytes.decodeToString())
+    }
+
+    override fun end() {
+        isComplete = true
+    }
+
+    override fun abort() {
+        isAborted = true
+        throw IOException("broken off")
+    }
+}
+
+internal fun head(status: Int, vararg headers: Pair<String, String>, isNotRun: Boolean = false, after: Long = 5) =
+    Step(after, ServerEvent.Head(status, headers.toList(), isNotRun))
+
+internal fun event(id: Long, after: Long = 20) =
+    Step(after, ServerEvent.Part("id: $id\ndata: x$id\n\n".encodeToByteArray(), id))
+
+internal fun part(text: String, after: Long = 1) = Step(after, ServerEvent.Part(text.encodeToByteArray(), null))
+
+internal fun end(after: Long = 1) = Step(after, ServerEvent.End)
+
+internal fun broken(isSent: Boolean = true, after: Long = 5) = Step(after, ServerEvent.Failed(isSent, "reset"))
