--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
@@ -84,7 +84,7 @@
 
         internal const val ACCEPT_ENCODING = "Accept-Encoding"
         internal const val UNASKED = "identity;q=0"
-        private val CONNECT_TIMEOUT = 400.milliseconds
+        private val CONNECT_TIMEOUT = 200.milliseconds
         private val WRITE_TIMEOUT = 5.seconds
 
         /** Shorter than the time after which servers close idle connections. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -11,17 +11,19 @@
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.entry.gateway.GatewayProcess
+import org.berylpoint.entry.gateway.WarmUp
 import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.entry.settings.NodeSettings
 import sun.misc.Signal
 import java.io.File
 import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
 
 /** The command line of an entry instance. */
 internal class BerylpointCommand : CliktCommand(name = "berylpoint") {
     init {
         versionOption(VERSION)
-        subcommands(RunCommand(), ServeCommand(), CheckCommand())
+        subcommands(RunCommand(), ServeCommand(), WarmUpCommand(), CheckCommand())
     }
 
     override fun help(context: Context): String = """
@@ -84,6 +86,18 @@
     }
 }
 
+/** Loads the classes of the serving path, for a class-data archive that the runtime writes at exit. */
+private class WarmUpCommand : CliktCommand(name = "warm-up") {
+    override fun help(context: Context): String =
+        "Serves a few requests on loopback and ends; run with -XX:ArchiveClassesAtExit to make starts faster."
+
+    override fun run() {
+        val served = WarmUp(System::currentTimeMillis).run()
+        echo("$served requests were served")
+        exitProcess(if (served > 0) 0 else 1)
+    }
+}
+
 /** Checks a settings file and talks to nothing. */
 private class CheckCommand : CliktCommand(name = "check") {
     private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
