Keep requests with one prefix together while the queue allows it

Change: within half of the target a server is chosen by delay plus what reading parts again costs the others at that server.

--- a/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
@@ -58,15 +58,21 @@
         val preferred = demand.affinityKey?.let { key ->
             Rendezvous.ranked(key, candidates) { it.id.value }.take(COPIES).map { it.id }
         }.orEmpty()
-        val best = candidates.minBy { delayMillis(demand, it, preferred) + tieBreak(it) }
-        val delay = delayMillis(demand, best, preferred)
         val room = candidates.filter { it.active < slotLimit(it, demand) }
         if (room.isEmpty()) return Choice.Full(FULL_WAIT_MILLIS)
-        val chosen = if (best in room) best else room.minBy { delayMillis(demand, it, preferred) + tieBreak(it) }
-        val expected = if (chosen === best) delay else delayMillis(demand, chosen, preferred)
         val limit = demand.targetMillis * patience(demand.priority)
-        if (expected > limit) return Choice.Full((expected - limit).toLong().coerceAtLeast(MIN_WAIT_MILLIS))
-        return Choice.Send(chosen.id, expected)
+        val fastest = room.minOf { delayMillis(demand, it, preferred) }
+        if (fastest > limit) return Choice.Full((fastest - limit).toLong().coerceAtLeast(MIN_WAIT_MILLIS))
+        val inTime = room.filter { delayMillis(demand, it, preferred) <= maxOf(fastest, demand.targetMillis * CALM_SHARE) }
+        val chosen = inTime.minBy { cost(demand, it, preferred) }
+        return Choice.Send(chosen.id, delayMillis(demand, chosen, preferred))
+    }
+
+    /** The delay, and what the request takes from others: parts that are read again, bytes between domains. */
+    private fun cost(demand: Demand, server: Candidate, preferred: List<BackendServerId>): Double {
+        val again = if (server.id in preferred) 0 else demand.sharedTokens
+        val remote = if (server.isLocal) 0.0 else REMOTE_MILLIS
+        return delayMillis(demand, server, preferred) + again / server.tokensPerMilli * REREAD_WEIGHT + remote
     }
 
     private fun delayMillis(demand: Demand, server: Candidate, preferred: List<BackendServerId>): Double {
@@ -77,9 +83,6 @@
         return (reading + sharing) * server.slowness
     }
 
-    // A server of another domain costs transfer; a fuller one costs the others that run there.
-    private fun tieBreak(server: Candidate): Double = if (server.isLocal) 0.0 else REMOTE_MILLIS
-
     /** Requests that may be in progress at [server]; urgent ones may use the server's queue. */
     private fun slotLimit(server: Candidate, demand: Demand): Int {
         val queue = if (demand.priority == 0) URGENT_QUEUE_SHARE else QUEUE_SHARE
@@ -99,6 +102,12 @@
     private const val SHARING_MILLIS = 30.0
     private const val REMOTE_MILLIS = 3.0
 
+    /** Share of the target within which a server is chosen by what the request costs, not only by its delay. */
+    private const val CALM_SHARE = 0.5
+
+    /** Cost of reading a part again beyond the delay of this request: it delays the others at that server. */
+    private const val REREAD_WEIGHT = 2.0
+
     /** Share of a server's slots that may wait in its own queue. */
     private const val QUEUE_SHARE = 0.1
     private const val URGENT_QUEUE_SHARE = 0.3
