Take no request that the end of the instance might cut, and order fewer servers

A server counts for 55,000 prompt tokens a second instead of 40,000, on-demand servers for 0.4 of the load instead of 0.45.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -55,7 +55,7 @@
     private val rollouts = RolloutDuty(store, site, peers, clocks, log, random, ::ownReport)
     private val client = HttpServerClient()
     private val pool = ServerPool(settings.instance, settings.domain, clocks, site, peers, rollouts, random)
-    private val flow = RequestFlow(clocks, site, pool, client, counts, log, metrics, random)
+    private val flow = RequestFlow(clocks, site, pool, client, counts, log, metrics, random) { isLeaving }
     private val lease = DutyLeaseKeeper(
         settings.instance, store, peers, clocks, log, settings.bounds.leaseMillis + LEASE_EXTRA_MILLIS,
     )
@@ -69,6 +69,10 @@
     @Volatile
     private var isStopping = false
 
+    /** Set once the balancer has had time to learn that the instance stops. */
+    @Volatile
+    private var isLeaving = false
+
     /** Starts everything; returns when the addresses are open. */
     public fun start() {
         log.belief("process", "the instance starts", "instance" to settings.instance, "domain" to settings.domain.name)
@@ -94,7 +98,9 @@
         val limit = clocks.steady + settings.graceSeconds * MILLIS - STOP_MARGIN_MILLIS
         val earliest = clocks.steady + LEAVE_MILLIS
         runBlocking {
-            while (clocks.steady < limit && (clocks.steady < earliest || flow.inFlight > 0)) delay(STOP_CHECK)
+            while (clocks.steady < earliest) delay(STOP_CHECK)
+            isLeaving = true
+            while (clocks.steady < limit && flow.inFlight > 0) delay(STOP_CHECK)
         }
         log.belief("process", "the instance has stopped", "inFlight" to flow.inFlight)
         scope.cancel()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -29,6 +29,8 @@
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     random: Random,
+    /** Whether the instance is about to end, so that a new request might be cut off. */
+    private val isLeaving: () -> Boolean = { false },
 ) {
     private val admission = Admission(clocks, site, counts, random)
     private val running = AtomicInteger()
@@ -41,6 +43,11 @@
         val arrived = clocks.steady
         running.incrementAndGet()
         try {
+            if (isLeaving()) {
+                val id = exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty()
+                refuse(exchange, id, Refusal(ErrorKind.ShuttingDown, "the instance stops", LEAVING_WAIT_MILLIS), arrived)
+                return
+            }
             admission.admit(exchange.request, arrived).fold(
                 ifLeft = { refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), it, arrived) },
                 ifRight = { Serving(exchange, it).run() },
@@ -257,6 +264,8 @@
 
         /** Connections that one request may break at all instances together. */
         const val MAX_CRASHES = 3
+        /** Another instance can take the request at once. */
+        const val LEAVING_WAIT_MILLIS = 10L
         const val QUARANTINE_WAIT_MILLIS = 30_000L
 
         /** Sends beyond the route's attempts that servers refused without running. */
--- a/policy/src/main/kotlin/org/berylpoint/policy/capacity/CapacityPlan.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/capacity/CapacityPlan.kt
@@ -74,5 +74,5 @@
     private const val ON_DEMAND_HEADROOM = 1.1
 
     /** Share of the load that on-demand servers carry whatever is reclaimed. */
-    private const val BASE_SHARE = 0.45
+    private const val BASE_SHARE = 0.4
 }
--- a/policy/src/main/kotlin/org/berylpoint/policy/capacity/DemandMeter.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/capacity/DemandMeter.kt
@@ -8,7 +8,7 @@
 
     private companion object {
         /** Prompt tokens that one server reads in a second beside its other work, without delaying it much. */
-        const val TOKENS_PER_SERVER_SECOND = 40_000.0
+        const val TOKENS_PER_SERVER_SECOND = 55_000.0
         const val SLOT_SHARE = 0.5
         const val MIN_SERVERS = 2.0
     }
