--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -83,7 +83,10 @@
 
         /** Attempts that ran or may have run. */
         private var runs = 0
+
+        /** Attempts that reached a server. */
         private var sends = 0
+        private var unsent = 0
         private var isCharged = false
         private var failure = "no attempt was made"
 
@@ -108,7 +111,6 @@
             val exchangeWithServer = client.send(
                 place.server.entry.id, place.server.entry.address, request.forServer(place, remainingMillis(), progress),
             )
-            sends++
             tried += place.server.entry.id
             val attempt = ServerAttempt(exchange, request, place, exchangeWithServer, progress, clocks)
             val end = try {
@@ -136,6 +138,7 @@
         private fun conclude(place: ServerPlace, end: AttemptEnd): Boolean {
             val entry = place.server.entry
             pool.release(place, signalOf(end))
+            if (end is AttemptEnd.NotRun && !end.isArrived) unsent++ else sends++
             if (end !is AttemptEnd.NotRun) {
                 runs++
                 if (!request.isStream && end !is AttemptEnd.CallerLeft) countRun()
@@ -178,7 +181,8 @@
             !progress.isBrokenEvent && remainingMillis() > MIN_USEFUL_MILLIS && counts.tryRetry(request.service.name)
 
         private fun afterNotRun(end: AttemptEnd.NotRun): Boolean {
-            val mayResend = sends < request.route.maxAttempts + EXTRA_SENDS && remainingMillis() > MIN_USEFUL_MILLIS
+            val isWithinLimit = sends < request.route.maxAttempts + EXTRA_SENDS && unsent < MAX_UNSENT
+            val mayResend = isWithinLimit && remainingMillis() > MIN_USEFUL_MILLIS
             if (mayResend && (!end.isArrived || counts.tryRetry(request.service.name))) return true
             if (runs > 0) finalFailure(ErrorKind.BackendFailed) else giveUp(ErrorKind.NoCapacity, end.toString(), REFUSED_WAIT_MILLIS)
             return false
@@ -271,6 +275,9 @@
         /** Sends beyond the route's attempts that servers refused without running. */
         const val EXTRA_SENDS = 1
 
+        /** Servers that one request may fail to reach; nothing of it arrived there. */
+        const val MAX_UNSENT = 4
+
         /** A request with less time left is not sent. */
         const val MIN_USEFUL_MILLIS = 30L
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -35,6 +35,17 @@
         }
     }
 
+    // Guards against a refusal while sound servers are left (cold return of a whole domain).
+    test("reclaim of a domain: servers that can't be reached do not use up a request's attempts") {
+        runTest {
+            val scene = FlowScene(this, servers = 4)
+            scene.scripts += List(3) { listOf(broken(isSent = false)) } + listOf(listOf(head(200), event(1), end()))
+            val caller = RecordingCaller("/chat/1").also { scene.flow.serve(it) }
+            scene.sent.size shouldBe 4
+            caller.isComplete shouldBe true
+        }
+    }
+
     test("a booking that servers say they did not run is refused with a time to come back") {
         runTest {
             val scene = FlowScene(this)
