Follow the store's feeds once a failure domain, and leave more of the caps' tolerance

Change: the first live instance of a domain by rendezvous hashing follows the feeds and hands rows on by datagram; the others ask when a peer is ahead. Caps use 0.15 of the tolerance and reckon with 1.5 report intervals.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -24,6 +24,7 @@
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.gateway.server.HttpServerClient
 import org.berylpoint.entry.gateway.server.ServerPool
+import org.berylpoint.entry.gateway.site.FeedReading
 import org.berylpoint.entry.gateway.site.SiteState
 import org.berylpoint.entry.gateway.site.StoreWatcher
 import org.berylpoint.entry.settings.GatewaySettings
@@ -31,9 +32,7 @@
 import org.berylpoint.platform.cloud.CloudClient
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
-import org.berylpoint.policy.Rendezvous
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -59,8 +58,11 @@
     private val lease = DutyLeaseKeeper(
         settings.instance, store, peers, clocks, log, settings.bounds.leaseMillis + LEASE_EXTRA_MILLIS,
     )
-    private val watcher = StoreWatcher(store, site, log, ::feedWait)
-    private val reports = PeerReports(
+    private val reading = FeedReading(settings.instance, settings.domain.name, peers) { rows ->
+        reports.handOn(settings.domain.name, rows)
+    }
+    private val watcher = StoreWatcher(store, site, log, reading)
+    private val reports: PeerReports = PeerReports(
         settings.instance, settings.reportAddress.toString(), store, peers, clocks, log, ::report, ::received,
     )
     private val front = FrontServer(settings, registry, FrontHandlers(flow::serve, ::isReady, { isStopping }, ::dump, ::maxBody))
@@ -118,13 +120,6 @@
 
     private fun maxBody(): Int = site.view.config?.callerLimits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
-    /** Two instances ask often, so that a silent feed is noticed soon; the others rely on their reports. */
-    private fun feedWait(): Duration {
-        val names = peers.live.map { it.name } + settings.instance
-        val rank = Rendezvous.ranked(FEED_KEY, names) { it }.indexOf(settings.instance)
-        return if (rank < FREQUENT_READERS) FREQUENT_WAIT else RARE_WAIT
-    }
-
     private suspend fun duties() {
         val cloudAddress = settings.cloudAddress ?: return
         val cloud = CloudClient(cloudAddress, http)
@@ -153,6 +148,7 @@
 
     private fun received(report: NodeReport) {
         counts.remoteAdmitted(report)
+        report.rows?.let(watcher::handedOn)
         watcher.peerHas(report.revisions)
     }
 
@@ -211,9 +207,5 @@
         const val STOP_MARGIN_MILLIS = 400L
         val STOP_CHECK = 50.milliseconds
         val DUTY_INTERVAL = 500.milliseconds
-        const val FEED_KEY = "feed"
-        const val FREQUENT_READERS = 2
-        val FREQUENT_WAIT = 1500.milliseconds
-        val RARE_WAIT = 10.seconds
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReports.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReports.kt
@@ -9,8 +9,10 @@
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.ReportSocket
+import org.berylpoint.peer.RowsPart
 import org.berylpoint.platform.store.RowWrite
 import org.berylpoint.platform.store.StoreClient
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,17 +36,26 @@
     private val report: (sequence: Long) -> NodeReport,
     private val onReport: (NodeReport) -> Unit,
 ) {
-    private var sequence = 0L
+    private val sequence = AtomicLong()
+
+    private var socket: ReportSocket? = null
+
+    /** Hands changed rows on to the instances of [domain]; null where a datagram can't hold them. */
+    suspend fun handOn(domain: String, rows: RowsPart) {
+        if (rows.rows.sumOf { it.value.size } > MAX_ROW_BYTES) return
+        socket?.send(report(sequence.incrementAndGet()).copy(rows = rows), view.addressesIn(domain))
+    }
 
     suspend fun start(scope: CoroutineScope) {
         val socket = ReportSocket.open(address)
+        this.socket = socket
         socket.receive(scope) { received -> view.accept(received)?.let(onReport) }
         scope.launch { announce() }
         scope.launch {
             while (true) {
                 view.expire()
                 val addresses = view.addresses()
-                socket.send(report(++sequence), addresses)
+                socket.send(report(sequence.incrementAndGet()), addresses)
                 delay(PeerView.reportIntervalMillis(addresses.size).milliseconds)
             }
         }
@@ -84,6 +95,9 @@
 
     private companion object {
         const val TABLE = "instances"
+
+        /** Larger changes are read from the store by each instance. */
+        const val MAX_ROW_BYTES = 4_096
         val FIRST_RETRY = 300.milliseconds
         val LONGEST_RETRY = 3.seconds
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -77,6 +77,10 @@
     @Synchronized
     public fun addresses(): List<String> = peers.values.map { it.address }
 
+    /** Addresses of the instances of [domain] that are heard. */
+    @Synchronized
+    public fun addressesIn(domain: String): List<String> = fresh.filter { it.domain == domain }.map { it.address }
+
     /** Names of all instances known, this one included. */
     @Synchronized
     public fun names(): Set<String> = peers.keys + self
@@ -85,9 +89,9 @@
     @Synchronized
     public fun heardShare(): Double = (fresh.size + 1.0) / (peers.size + 1.0)
 
-    /** Usual age of the newest report of another instance. */
+    /** Age that the newest report of another instance has at most, as long as none is lost. */
     @Synchronized
-    public fun reportDelayMillis(): Long = reportIntervalMillis(peers.size)
+    public fun reportDelayMillis(): Long = reportIntervalMillis(peers.size) * 3 / 2
 
     /** Offset from the steady clock to true time. */
     @Synchronized
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -12,17 +12,26 @@
 import org.berylpoint.platform.store.StoreClient
 import org.berylpoint.platform.store.StoreError
 import org.berylpoint.platform.store.StoreRow
+import kotlinx.coroutines.withTimeoutOrNull
+import org.berylpoint.peer.RowPart
+import org.berylpoint.peer.RowsPart
+import org.berylpoint.platform.store.StoreRows
 import org.berylpoint.platform.wire.StoreNames
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Keeps [state] up to date by one feed for each table. [longestWait] gives the wait to ask of the next call. */
+/**
+ * Keeps [state] up to date with the store.
+ *
+ * In each failure domain one instance follows the tables' feeds and hands changed rows on to the others; these read
+ * the store themselves when a peer has a newer row than they do, and now and then in any case.
+ */
 public class StoreWatcher(
     private val store: StoreClient,
     private val state: SiteState,
     private val log: DecisionLog,
-    private val longestWait: () -> Duration,
+    private val reading: FeedReading,
 ) {
     private val operators = TableFeed(StoreNames.OPERATORS, state::replaceOperators, state::updateOperators)
     private val servers = TableFeed(StoreNames.SERVERS, state::replaceServers, state::updateServers)
@@ -48,6 +57,12 @@
         for (feed in listOf(operators, servers)) feed.peerHas(revisions[feed.table] ?: 0)
     }
 
+    /** Takes in rows that the reader of this failure domain handed on. */
+    public fun handedOn(part: RowsPart) {
+        val feed = listOf(operators, servers).firstOrNull { it.table == part.table } ?: return
+        feed.handedOn(part)
+    }
+
     private inner class TableFeed(
         val table: String,
         private val replace: (List<StoreRow>) -> Unit,
@@ -61,12 +76,21 @@
         private var isKnown = false
         private var failures = 0
         private val behind = Channel<Unit>(Channel.CONFLATED)
+        private val applying = Any()
 
         @Volatile
         private var peerRevision = 0L
 
+        fun handedOn(part: RowsPart) = synchronized(applying) {
+            if (!isKnown || rowRevision < part.after) return
+            val rows = part.rows.map { StoreRow(table, it.key, it.value, it.revision, it.isDeleted) }
+            update(rows.filter { it.revision > rowRevision })
+            noteRows(rows)
+            revision = maxOf(revision, rowRevision)
+        }
+
         fun peerHas(newest: Long) {
-            if (newest <= revision || newest <= peerRevision) return
+            if (newest <= rowRevision || newest <= peerRevision) return
             peerRevision = newest
             behind.trySend(Unit)
         }
@@ -90,10 +114,12 @@
             ifRight = {
                 // A read that lags behind what is known would take rows back.
                 if (it.revision < revision) return StoreError.NotDone("a read as of ${it.revision}, known is $revision")
-                replace(it.rows)
-                noteRows(it.rows)
-                revision = it.revision
-                isKnown = true
+                synchronized(applying) {
+                    replace(it.rows)
+                    noteRows(it.rows)
+                    revision = it.revision
+                    isKnown = true
+                }
                 null
             },
         )
@@ -103,13 +129,19 @@
         }
 
         private suspend fun follow(): StoreError? {
-            val wait = if (failures > 0) Duration.ZERO else longestWait()
+            val wait = reading.feedWait()
+            return when {
+                failures > 0 -> ask(Duration.ZERO)
+                wait != null -> followFeed(wait)
+                else -> followPeers()
+            }
+        }
+
+        /** Waits for a change, or for a sign that the feed stays behind a peer. */
+        private suspend fun followFeed(wait: Duration): StoreError? {
             val answer = coroutineScope {
                 val call = async { store.changes(table, revision, wait) }
-                val early = async {
-                    behind.receive()
-                    delay(BEHIND_PATIENCE)
-                }
+                val early = async { peerAhead() }
                 val result = select {
                     call.onAwait { it }
                     early.onAwait { null }
@@ -118,16 +150,30 @@
                 early.cancel()
                 result
             }
-            if (answer == null) {
-                if (peerRevision > revision) {
-                    log.belief("site", "a feed stays behind a peer", "table" to table, "revision" to revision)
-                    return store.changes(table, revision, Duration.ZERO).fold({ failed(it) }, ::applied)
-                }
-                return null
-            }
-            return answer.fold({ failed(it) }, ::applied)
+            if (answer != null) return answer.fold({ failed(it) }, { applied(it) })
+            return askIfBehind()
+        }
+
+        private suspend fun followPeers(): StoreError? {
+            val isAhead = withTimeoutOrNull(reading.checkInterval) { peerAhead() } != null
+            return if (isAhead) askIfBehind() else ask(Duration.ZERO)
+        }
+
+        /** Returns some time after a peer is known to have a newer row; the row may have come meanwhile. */
+        private suspend fun peerAhead() {
+            behind.receive()
+            delay(BEHIND_PATIENCE)
         }
 
+        private suspend fun askIfBehind(): StoreError? {
+            if (peerRevision <= rowRevision) return null
+            log.belief("site", "a peer has newer rows", "table" to table, "revision" to rowRevision, "peer" to peerRevision)
+            return ask(Duration.ZERO)
+        }
+
+        private suspend fun ask(wait: Duration): StoreError? =
+            store.changes(table, revision, wait).fold({ failed(it) }, { applied(it) })
+
         private fun failed(error: StoreError): StoreError? {
             if (error != StoreError.HistoryGone) return error
             log.belief("site", "the store dropped its history", "table" to table, "revision" to revision)
@@ -135,10 +181,16 @@
             return null
         }
 
-        private fun applied(rows: org.berylpoint.platform.store.StoreRows): StoreError? {
-            update(rows.rows)
-            noteRows(rows.rows)
-            revision = maxOf(revision, rows.revision)
+        private suspend fun applied(rows: StoreRows): StoreError? {
+            val after = rowRevision
+            synchronized(applying) {
+                update(rows.rows)
+                noteRows(rows.rows)
+                revision = maxOf(revision, rows.revision)
+            }
+            if (rows.rows.isNotEmpty() && reading.feedWait() != null) {
+                reading.handOn(RowsPart(table, after, rows.rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }))
+            }
             return null
         }
     }
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -4,6 +4,7 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborLabel
 
@@ -37,6 +38,25 @@
     @CborLabel(15) val address: String = "",
     /** Newest store revisions that the sender has applied, by table. */
     @CborLabel(16) val revisions: Map<String, Long> = emptyMap(),
+    /** Rows that the sender has just read for the instances of its failure domain. */
+    @CborLabel(17) val rows: RowsPart? = null,
+)
+
+/** Changes of one table of the store, complete since the row with revision [after]. */
+@Serializable
+public data class RowsPart(
+    @CborLabel(1) val table: String,
+    @CborLabel(2) val after: Long,
+    @CborLabel(3) val rows: List<RowPart>,
+)
+
+/** One changed or deleted row. */
+@Serializable
+public data class RowPart(
+    @CborLabel(1) val key: String,
+    @ByteString @CborLabel(2) val value: ByteArray,
+    @CborLabel(3) val revision: Long,
+    @CborLabel(4) val isDeleted: Boolean = false,
 )
 
 /** The sender's requests at one server. */
--- a/policy/src/main/kotlin/org/berylpoint/policy/quota/UsageCap.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/quota/UsageCap.kt
@@ -93,7 +93,7 @@
 
         /** Requests reach servers, and reports arrive, a little after they are admitted. */
         const val WINDOW_MARGIN_MILLIS = 400L
-        const val USED_TOLERANCE = 0.3
+        const val USED_TOLERANCE = 0.15
         const val MIN_WAIT_MILLIS = 50L
     }
 }
