--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -8,9 +8,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.put
 import org.berylpoint.entry.gateway.caller.FrontHandlers
 import org.berylpoint.entry.gateway.caller.FrontServer
@@ -56,16 +56,29 @@
     private val pool = ServerPool(settings.instance, settings.domain, clocks, site, peers, rollouts, random)
     private val flow = RequestFlow(clocks, site, pool, client, counts, log, metrics, random) { isLeaving }
     private val lease = DutyLeaseKeeper(
-        settings.instance, store, peers, clocks, log, settings.bounds.leaseMillis + LEASE_EXTRA_MILLIS,
+        settings.instance,
+        store,
+        peers,
+        clocks,
+        log,
+        settings.bounds.leaseMillis + LEASE_EXTRA_MILLIS,
     )
     private val reading = FeedReading(settings.instance, settings.domain.name, peers) { rows ->
         reports.handOn(settings.domain.name, rows)
     }
     private val watcher = StoreWatcher(store, site, log, reading)
     private val reports: PeerReports = PeerReports(
-        settings.instance, settings.reportAddress.toString(), store, peers, clocks, log, ::report, ::received,
+        settings.instance,
+        settings.reportAddress.toString(),
+        store,
+        peers,
+        clocks,
+        log,
+        ::report,
+        ::received,
     )
-    private val front = FrontServer(settings, registry, FrontHandlers(flow::serve, ::isReady, { isStopping }, ::dump, ::maxBody))
+    private val front =
+        FrontServer(settings, registry, FrontHandlers(flow::serve, ::isReady, { isStopping }, ::dump, ::maxBody))
     private var sequence = 0L
 
     @Volatile
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/FrontServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/FrontServer.kt
@@ -151,8 +151,13 @@
         const val TOO_LARGE = 413
         const val UNAVAILABLE = 503
         val METHODS = listOf(
-            HandlerType.GET, HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE,
-            HandlerType.HEAD, HandlerType.OPTIONS,
+            HandlerType.GET,
+            HandlerType.POST,
+            HandlerType.PUT,
+            HandlerType.PATCH,
+            HandlerType.DELETE,
+            HandlerType.HEAD,
+            HandlerType.OPTIONS,
         )
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
@@ -38,10 +38,15 @@
     public fun observe() {
         for (service in scaled()) {
             val parts = (peers.usageReports() + ownReport()).flatMap { report ->
-                report.demands.filter { it.service == service.name.value }.map { "${report.name}/${report.startedAtMillis}" to it }
+                report.demands.filter { it.service == service.name.value }.map {
+                    "${report.name}/${report.startedAtMillis}" to
+                        it
+                }
             }
             val active = (peers.live + ownReport()).sumOf { report ->
-                val ids = site.view.servers.values.filter { it.entry.service == service.name }.map { it.entry.id.value }.toSet()
+                val ids = site.view.servers.values.filter {
+                    it.entry.service == service.name
+                }.map { it.entry.id.value }.toSet()
                 report.loads.filter { it.server in ids }.sumOf { it.active }
             }
             val sums = parts.associate { (process, part) -> process to part.promptTokens }
@@ -72,7 +77,13 @@
         needed = needed,
         domains = limits.domainPrices.map { (domain, price) ->
             val until = shortUntil[service.name to domain] ?: Long.MIN_VALUE
-            DomainSupply(domain, price, warmReclaimable(service, domain), clocks.steady < until, domain in site.view.outOfService)
+            DomainSupply(
+                domain,
+                price,
+                warmReclaimable(service, domain),
+                clocks.steady < until,
+                domain in site.view.outOfService,
+            )
         },
         bounds = CapacityBounds(limits.min, limits.max, limits.reclaimablePriceShare != null),
     )
@@ -115,13 +126,21 @@
             if (present(site.view.config?.services?.get(entry.service) ?: continue, entry.domain, true) > 0) continue
             shortUntil[key] = clocks.steady + RECLAIMED_MILLIS
             ordered.remove(subject)
-            log.belief("duty", "reclaimable servers are taken back", "domain" to entry.domain.name, "service" to entry.service.value)
+            log.belief(
+                "duty",
+                "reclaimable servers are taken back",
+                "domain" to entry.domain.name,
+                "service" to entry.service.value,
+            )
         }
     }
 
     private fun present(service: Service, domain: FailureDomain, isReclaimable: Boolean): Int =
         site.view.servers.values.count {
-            it.entry.service == service.name && it.entry.domain == domain && it.entry.isReclaimable == isReclaimable && !it.entry.isDraining
+            it.entry.service == service.name &&
+                it.entry.domain == domain &&
+                it.entry.isReclaimable == isReclaimable &&
+                !it.entry.isDraining
         }
 
     private fun warmReclaimable(service: Service, domain: FailureDomain): Int = site.view.usable(service.name).count {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/DutyLeaseKeeper.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/DutyLeaseKeeper.kt
@@ -1,8 +1,8 @@
 package org.berylpoint.entry.gateway.duty
 
 import kotlinx.coroutines.delay
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.berylpoint.entry.gateway.Clocks
 import org.berylpoint.entry.gateway.DecisionLog
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
@@ -61,8 +61,14 @@
             val next = RolloutShare.step(counts.getValue(true), counts.getValue(false), elapsed, order.durationMillis)
             if (next != known.step) {
                 log.belief(
-                    "rollout", "a version's share changes", "service" to order.service.value, "to" to order.to.value,
-                    "share" to next.share, "state" to next.state.name, "new" to counts[true], "old" to counts[false],
+                    "rollout",
+                    "a version's share changes",
+                    "service" to order.service.value,
+                    "to" to order.to.value,
+                    "share" to next.share,
+                    "state" to next.state.name,
+                    "new" to counts[true],
+                    "old" to counts[false],
                 )
             }
             known.step = next
@@ -80,7 +86,12 @@
                 ifLeft = { log.belief("rollout", "the state was not written", "state" to state.name, "cause" to it) },
                 ifRight = {
                     known.written = state
-                    log.belief("rollout", "the state is written", "service" to known.order.service.value, "state" to state.name)
+                    log.belief(
+                        "rollout",
+                        "the state is written",
+                        "service" to known.order.service.value,
+                        "state" to state.name,
+                    )
                 },
             )
         }
@@ -91,7 +102,10 @@
 
     /** Outcomes of the new version (true) and of all others (false). */
     private fun counts(order: RolloutOrder): Map<Boolean, VersionCounts> {
-        val parts = (peers.usageReports() + ownReport()).flatMap { it.outcomes }.filter { it.service == order.service.value }
+        val parts = (peers.usageReports() + ownReport()).flatMap { it.outcomes }.filter {
+            it.service ==
+                order.service.value
+        }
         return listOf(true, false).associateWith { isNew ->
             val its = parts.filter { (it.version == order.to.value) == isNew }
             VersionCounts(its.sumOf { it.good }, its.sumOf { it.bad })
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/UsageDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/UsageDuty.kt
@@ -54,7 +54,8 @@
     /** All instances have reported since the window ended, or time is running out. */
     private fun isComplete(age: Long): Boolean {
         if (age < SETTLE_MILLIS) return false
-        return peers.allHeardSince(clocks.steady - age + SETTLE_MILLIS / 2) || age > bounds.usageLateMillis - LAST_CALL_MILLIS
+        return peers.allHeardSince(clocks.steady - age + SETTLE_MILLIS / 2) ||
+            age > bounds.usageLateMillis - LAST_CALL_MILLIS
     }
 
     private suspend fun report(window: Long, holder: () -> DutyHolder?, age: Long): Boolean {
@@ -68,8 +69,13 @@
         val result = cloud.reportUsage(acting, window, counts.mapKeys { Workspace(it.key) })
         val outcome = result.fold({ it.toString() }, { "status $it" })
         log.belief(
-            "duty", "usage is reported", "window" to window, "counts" to counts, "token" to acting.fencingToken,
-            "age" to age, "outcome" to outcome,
+            "duty",
+            "usage is reported",
+            "window" to window,
+            "counts" to counts,
+            "token" to acting.fencingToken,
+            "age" to age,
+            "outcome" to outcome,
         )
         metrics.dutyCall("usage", result.fold({ "error" }, { it.toString() }))
         if (result.fold({ false }, { it == OK })) done += window
@@ -89,7 +95,13 @@
         return store.commit(listOf(RowCondition(TABLE, key, 0)), listOf(write), listOf(old)).fold(
             ifLeft = { error ->
                 val earlier = (error as? StoreError.Conflict)?.rows?.firstOrNull { it.key == key && !it.isDeleted }
-                log.belief("duty", "usage was not settled", "window" to window, "cause" to error, "earlier" to (earlier != null))
+                log.belief(
+                    "duty",
+                    "usage was not settled",
+                    "window" to window,
+                    "cause" to error,
+                    "earlier" to (earlier != null),
+                )
                 earlier?.let { Json.decodeFromString(COUNTS, it.value.decodeToString()) }
             },
             ifRight = { counts },
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
@@ -46,8 +46,14 @@
         val patience = caller.header(RequestHeaders.DEADLINE_MILLIS)?.trim()?.toDoubleOrNull()?.toLong()
         val limit = minOf(patience ?: route.timeoutMillis, route.timeoutMillis)
         val request = AdmittedRequest(
-            id, caller, route, service, workspace.takeUnless { route.isPublic && workspace == null },
-            arrivedAtMillis, arrivedAtMillis + limit, PromptTokens.of(caller),
+            id,
+            caller,
+            route,
+            service,
+            workspace.takeUnless { route.isPublic && workspace == null },
+            arrivedAtMillis,
+            arrivedAtMillis + limit,
+            PromptTokens.of(caller),
         )
         return request.right()
     }
@@ -57,7 +63,11 @@
         val policy = request.workspace ?: return null
         val cost = request.capCost
         val wait = counts.admit(policy, cost) ?: return null
-        return Refusal(ErrorKind.CapExceeded, "the cap of ${policy.workspace}, ${policy.ratePerSecond} a second and ${policy.burst}, is used up by $cost", wait)
+        return Refusal(
+            ErrorKind.CapExceeded,
+            "the cap of ${policy.workspace}, ${policy.ratePerSecond} a second and ${policy.burst}, is used up by $cost",
+            wait,
+        )
     }
 
     private fun workspaceOf(caller: CallerRequest, config: ServingConfig): WorkspacePolicy? {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
@@ -44,7 +44,10 @@
 
     /** Equal for requests that are the same to a server: path, workspace and body. */
     val fingerprint: String
-        get() = "%08x%08x".format(caller.path.hashCode() * HASH_FACTOR + (workspace?.workspace?.name.hashCode()), caller.body.contentHashCode())
+        get() = "%08x%08x".format(
+            caller.path.hashCode() * HASH_FACTOR + (workspace?.workspace?.name.hashCode()),
+            caller.body.contentHashCode(),
+        )
 
     private companion object {
         const val PRIORITY_STEP = 3
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -45,11 +45,18 @@
         try {
             if (isLeaving()) {
                 val id = exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty()
-                refuse(exchange, id, Refusal(ErrorKind.ShuttingDown, "the instance stops", LEAVING_WAIT_MILLIS), arrived)
+                refuse(
+                    exchange,
+                    id,
+                    Refusal(ErrorKind.ShuttingDown, "the instance stops", LEAVING_WAIT_MILLIS),
+                    arrived,
+                )
                 return
             }
             admission.admit(exchange.request, arrived).fold(
-                ifLeft = { refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), it, arrived) },
+                ifLeft = {
+                    refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), it, arrived)
+                },
                 ifRight = { Serving(exchange, it).run() },
             )
         } catch (e: IOException) {
@@ -65,7 +72,8 @@
         val kind = refusal.kind
         log.request(
             "flow", id, "refused", "kind" to kind.name, "status" to kind.status, "cause" to refusal.cause,
-            "retryAfter" to refusal.retryAfterMillis, "age" to clocks.steady - arrived, "target" to exchange.request.target,
+            "retryAfter" to refusal.retryAfterMillis, "age" to clocks.steady - arrived,
+            "target" to exchange.request.target,
         )
         metrics.ended(kind.name, exchange.request.path.substringBeforeLast('/'), clocks.steady - arrived)
         val headers = buildList {
@@ -93,7 +101,11 @@
         suspend fun run() {
             val crashes = counts.crashesOf(request.fingerprint)
             if (crashes >= MAX_CRASHES) {
-                giveUp(ErrorKind.NoCapacity, "the request broke $crashes connections to servers", QUARANTINE_WAIT_MILLIS)
+                giveUp(
+                    ErrorKind.NoCapacity,
+                    "the request broke $crashes connections to servers",
+                    QUARANTINE_WAIT_MILLIS,
+                )
                 return
             }
             admission.charge(request)?.let {
@@ -109,7 +121,9 @@
         private suspend fun attempt(): Boolean {
             val place = findPlace() ?: return false
             val exchangeWithServer = client.send(
-                place.server.entry.id, place.server.entry.address, request.forServer(place, remainingMillis(), progress),
+                place.server.entry.id,
+                place.server.entry.address,
+                request.forServer(place, remainingMillis(), progress),
             )
             tried += place.server.entry.id
             val attempt = ServerAttempt(exchange, request, place, exchangeWithServer, progress, clocks)
@@ -142,7 +156,13 @@
             if (end !is AttemptEnd.NotRun) {
                 runs++
                 if (!request.isStream && end !is AttemptEnd.CallerLeft) countRun()
-                if (end !is AttemptEnd.CallerLeft) counts.outcome(request.service.name, entry.version, end is AttemptEnd.Complete)
+                if (end !is AttemptEnd.CallerLeft) {
+                    counts.outcome(
+                        request.service.name,
+                        entry.version,
+                        end is AttemptEnd.Complete,
+                    )
+                }
             }
             if (end is AttemptEnd.Complete) {
                 served(place, end)
@@ -152,7 +172,8 @@
             log.request(
                 "flow", request.id, "attempt-failed", "server" to entry.id.value, "revision" to place.server.revision,
                 "cause" to failure, "age" to age(), "sends" to sends, "lastEvent" to progress.lastEventId,
-                "expected" to place.expectedMillis.toLong(), "age-at-send" to place.takenAtMillis - request.arrivedAtMillis,
+                "expected" to place.expectedMillis.toLong(),
+                "age-at-send" to place.takenAtMillis - request.arrivedAtMillis,
             )
             metrics.attemptFailed(end::class.simpleName.orEmpty())
             return when (end) {
@@ -177,14 +198,23 @@
             return false
         }
 
-        private fun mayRunAgain(): Boolean = request.route.isIdempotent && runs < request.route.maxAttempts &&
-            !progress.isBrokenEvent && remainingMillis() > MIN_USEFUL_MILLIS && counts.tryRetry(request.service.name)
+        private fun mayRunAgain(): Boolean = request.route.isIdempotent &&
+            runs < request.route.maxAttempts &&
+            !progress.isBrokenEvent &&
+            remainingMillis() > MIN_USEFUL_MILLIS &&
+            counts.tryRetry(request.service.name)
 
         private fun afterNotRun(end: AttemptEnd.NotRun): Boolean {
             val isWithinLimit = sends < request.route.maxAttempts + EXTRA_SENDS && unsent < MAX_UNSENT
             val mayResend = isWithinLimit && remainingMillis() > MIN_USEFUL_MILLIS
             if (mayResend && (!end.isArrived || counts.tryRetry(request.service.name))) return true
-            if (runs > 0) finalFailure(ErrorKind.BackendFailed) else giveUp(ErrorKind.NoCapacity, end.toString(), REFUSED_WAIT_MILLIS)
+            if (runs >
+                0
+            ) {
+                finalFailure(ErrorKind.BackendFailed)
+            } else {
+                giveUp(ErrorKind.NoCapacity, end.toString(), REFUSED_WAIT_MILLIS)
+            }
             return false
         }
 
@@ -240,8 +270,13 @@
         private fun served(place: ServerPlace, end: AttemptEnd.Complete) {
             if (progress.isBegun) exchange.end() else exchange.answer(end.status, end.headers, end.body)
             log.served(
-                request.id, "server" to place.server.entry.id.value, "route" to request.route.name, "age" to age(),
-                "first" to progress.firstEventMillis, "expected" to place.expectedMillis.toLong(), "sends" to sends,
+                request.id,
+                "server" to place.server.entry.id.value,
+                "route" to request.route.name,
+                "age" to age(),
+                "first" to progress.firstEventMillis,
+                "expected" to place.expectedMillis.toLong(),
+                "sends" to sends,
                 "wait" to place.takenAtMillis - request.arrivedAtMillis,
             )
             ended("served")
@@ -268,6 +303,7 @@
 
         /** Connections that one request may break at all instances together. */
         const val MAX_CRASHES = 3
+
         /** Another instance can take the request at once. */
         const val LEAVING_WAIT_MILLIS = 10L
         const val QUARANTINE_WAIT_MILLIS = 30_000L
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -125,7 +125,11 @@
             if (isTorn) return AttemptEnd.Broke(true, "a stream that ends within an event")
             return AttemptEnd.Complete(head.status, head.headers, body)
         }
-        if (head.status >= SERVER_ERROR || head.status in NOT_RUN_STATUSES) return AttemptEnd.Error(head.status, head.headers, body)
+        if (head.status >= SERVER_ERROR ||
+            head.status in NOT_RUN_STATUSES
+        ) {
+            return AttemptEnd.Error(head.status, head.headers, body)
+        }
         return AttemptEnd.Complete(head.status, head.headers, body)
     }
 
@@ -145,7 +149,11 @@
     private fun isSilent(now: Long): Boolean {
         if (!request.route.isIdempotent) return false
         val silence = now - heardAtMillis
-        if (hasStarted && request.isStream) return silence > SILENT_PAUSES * maxOf(request.route.targetPauseMillis, MIN_PAUSE_MILLIS)
+        if (hasStarted &&
+            request.isStream
+        ) {
+            return silence > SILENT_PAUSES * maxOf(request.route.targetPauseMillis, MIN_PAUSE_MILLIS)
+        }
         return silence > SILENT_TARGETS * request.route.targetLatencyMillis + place.expectedMillis
     }
 
@@ -169,7 +177,8 @@
 }
 
 /** Whether the bytes end with an empty line. */
-private fun ByteArray.isWholeEvent(): Boolean = size >= 2 && this[size - 1] == LINE_FEED &&
+private fun ByteArray.isWholeEvent(): Boolean = size >= 2 &&
+    this[size - 1] == LINE_FEED &&
     (this[size - 2] == LINE_FEED || (size >= 3 && this[size - 2] == CARRIAGE_RETURN && this[size - 3] == LINE_FEED))
 
 private const val LINE_FEED = '\n'.code.toByte()
@@ -181,12 +190,18 @@
 )
 
 /** The request as it goes to the server of [place], continuing after what the caller has. */
-internal fun AdmittedRequest.forServer(place: ServerPlace, remainingMillis: Long, progress: AnswerProgress): ServerRequest {
+internal fun AdmittedRequest.forServer(
+    place: ServerPlace,
+    remainingMillis: Long,
+    progress: AnswerProgress,
+): ServerRequest {
     val named = caller.header("Connection").orEmpty().split(',').map { it.trim().lowercase() }.toSet()
     val resumeAfter = progress.lastEventId
     val headers = caller.headers.filter { (name, _) ->
         val key = name.lowercase()
-        key !in CONNECTION_HEADERS && key !in named && key !in RequestHeaders.OWN &&
+        key !in CONNECTION_HEADERS &&
+            key !in named &&
+            key !in RequestHeaders.OWN &&
             !(resumeAfter != null && key == RequestHeaders.LAST_EVENT_ID.lowercase())
     }.toMutableList()
     headers += RequestHeaders.DEADLINE_MILLIS to remainingMillis.coerceAtLeast(1).toString()
@@ -195,7 +210,12 @@
     if (service.engine != null) headers += RequestHeaders.SERVER_PRIORITY to serverPriority.toString()
     if (resumeAfter != null) headers += RequestHeaders.LAST_EVENT_ID to resumeAfter.toString()
     return ServerRequest(
-        id, caller.method, caller.target, headers, caller.body, isStream,
+        id,
+        caller.method,
+        caller.target,
+        headers,
+        caller.body,
+        isStream,
         needsNewConnection = route.repeatability == Repeatability.ONCE,
     )
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -16,11 +16,7 @@
 import org.berylpoint.policy.retry.RetryShare
 
 /** Counts of this process that bind together with those of the other instances: caps, retries, usage, crashes. */
-public class SharedCounts(
-    private val clocks: Clocks,
-    private val peers: PeerView,
-    private val bounds: GatewayBounds,
-) {
+public class SharedCounts(private val clocks: Clocks, private val peers: PeerView, private val bounds: GatewayBounds) {
     private class DemandSum(var prompt: Long = 0, var output: Long = 0, var refused: Long = 0)
     private class OutcomeSum(var good: Long = 0, var bad: Long = 0)
 
@@ -56,7 +52,11 @@
     @Synchronized
     public fun remoteAdmitted(report: NodeReport) {
         for ((name, cost) in report.admitted) {
-            if (cost != 0.0) caps.getOrPut(Workspace(name)) { UsageCap(bounds.capTolerance) }.takeRemote(cost, clocks.steady)
+            if (cost !=
+                0.0
+            ) {
+                caps.getOrPut(Workspace(name)) { UsageCap(bounds.capTolerance) }.takeRemote(cost, clocks.steady)
+            }
         }
     }
 
@@ -77,8 +77,7 @@
 
     /** Takes one retry out of the budget of [service]. */
     @Synchronized
-    public fun tryRetry(service: ServiceName): Boolean =
-        retriesOf(service).tryRetry(clocks.steady, peers.live.size + 1)
+    public fun tryRetry(service: ServiceName): Boolean = retriesOf(service).tryRetry(clocks.steady, peers.live.size + 1)
 
     /** Counts a request of [workspace] that began to run now. */
     @Synchronized
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -51,8 +51,20 @@
         peer.heardAtMillis = now
         peer.offsetMillis = report.wallMillis - now
         refresh(now)
-        val before = earlier?.admitted.orEmpty()
-        return report.copy(admitted = report.admitted.mapValues { (name, sum) -> sum - (before[name] ?: 0.0) })
+        return report.copy(admitted = if (earlier == null) recentlyAdmitted(report) else admittedSince(earlier, report))
+    }
+
+    private fun admittedSince(earlier: NodeReport, report: NodeReport): Map<String, Double> =
+        report.admitted.mapValues { (name, sum) -> sum - (earlier.admitted[name] ?: 0.0) }
+
+    /**
+     * What a process that is heard for the first time admitted lately. Its counters go back to its start, so only the
+     * average of one cap window counts; the whole sum would use up every cap at once.
+     */
+    private fun recentlyAdmitted(report: NodeReport): Map<String, Double> {
+        val age = report.sequence * reportIntervalMillis(peers.size)
+        val part = (RECENT_MILLIS / maxOf(age, 1L).toDouble()).coerceAtMost(1.0)
+        return report.admitted.mapValues { (_, sum) -> sum * part }
     }
 
     /** Drops what has been silent for long, and refreshes the list of live peers. */
@@ -126,13 +138,19 @@
         private const val INTERVAL_PER_PEER_MILLIS = 8L
 
         /** Time between reports; longer with many peers, so that an instance sends no more datagrams with each. */
-        public fun reportIntervalMillis(peers: Int): Long = maxOf(SHORTEST_INTERVAL_MILLIS, INTERVAL_PER_PEER_MILLIS * peers)
+        public fun reportIntervalMillis(peers: Int): Long = maxOf(
+            SHORTEST_INTERVAL_MILLIS,
+            INTERVAL_PER_PEER_MILLIS * peers,
+        )
 
         /** An instance without a report for this long may be down or cut off. */
         private const val SILENT_MILLIS = 1_500L
 
         /** An instance without a report for this long is taken to be gone for good. */
         private const val FORGOTTEN_MILLIS = 20_000L
+
+        /** Time of admissions that a newly heard process is reckoned with; about the window of a cap. */
+        private const val RECENT_MILLIS = 8_000L
         private const val MAX_ENDED = 64
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
@@ -168,7 +168,13 @@
         }
         emit(headOf(response))
         val source = response.body.source()
-        if (request.isStream && response.code == OK) readEvents(source) else emit(ServerEvent.Part(source.readByteArray(), null))
+        if (request.isStream &&
+            response.code == OK
+        ) {
+            readEvents(source)
+        } else {
+            emit(ServerEvent.Part(source.readByteArray(), null))
+        }
         return ServerEvent.End
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
@@ -80,11 +80,24 @@
         while (true) {
             val candidates = open.map { candidate(it, service, remote) }.shuffled(random)
             when (val choice = ServerChoice.choose(demand, candidates)) {
-                is Choice.NoServer -> return if (right.isEmpty()) PlaceAnswer.NoServer else PlaceAnswer.Full(COLD_WAIT_MILLIS)
+                is Choice.NoServer -> return if (right.isEmpty()) {
+                    PlaceAnswer.NoServer
+                } else {
+                    PlaceAnswer.Full(
+                        COLD_WAIT_MILLIS,
+                    )
+                }
                 is Choice.Full -> return PlaceAnswer.Full(choice.waitMillis)
                 is Choice.Send -> {
                     val server = open.first { it.entry.id == choice.server }
-                    if (mayTake(server, service, now)) return PlaceAnswer.Given(place(server, service, demand, choice, now))
+                    if (mayTake(
+                            server,
+                            service,
+                            now,
+                        )
+                    ) {
+                        return PlaceAnswer.Given(place(server, service, demand, choice, now))
+                    }
                     open = open - server
                 }
             }
@@ -124,7 +137,13 @@
         return pace.tryTake(self, server.entry.id.value, peers.names(), now)
     }
 
-    private fun place(server: KnownServer, service: Service, demand: Demand, choice: Choice.Send, now: Long): ServerPlace {
+    private fun place(
+        server: KnownServer,
+        service: Service,
+        demand: Demand,
+        choice: Choice.Send,
+        now: Long,
+    ): ServerPlace {
         val load = loadOf(server, service)
         load.active++
         load.pendingTokens += demand.promptTokens
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -127,7 +127,10 @@
             if (known != null) drop(id, "its entry can't be read")
             return
         }
-        view = view.copy(servers = (view.servers + (id to KnownServer(entry, clocks.steady, row.revision))).toPersistentMap())
+        view =
+            view.copy(
+                servers = (view.servers + (id to KnownServer(entry, clocks.steady, row.revision))).toPersistentMap(),
+            )
         if (known?.entry?.copy(coldRemainingMillis = 0) != entry.copy(coldRemainingMillis = 0)) {
             log.belief(
                 "site",
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -2,24 +2,23 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
 import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.peer.RowPart
+import org.berylpoint.peer.RowsPart
 import org.berylpoint.platform.store.StoreClient
 import org.berylpoint.platform.store.StoreError
 import org.berylpoint.platform.store.StoreRow
-import kotlinx.coroutines.withTimeoutOrNull
-import org.berylpoint.peer.RowPart
-import org.berylpoint.peer.RowsPart
 import org.berylpoint.platform.store.StoreRows
 import org.berylpoint.platform.wire.StoreNames
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Keeps [state] up to date with the store.
@@ -99,7 +98,11 @@
             while (true) {
                 val error = if (isKnown) follow() else readAll()
                 if (error == null) {
-                    if (failures > 0) log.belief("site", "the store answers again", "table" to table, "failures" to failures)
+                    if (failures >
+                        0
+                    ) {
+                        log.belief("site", "the store answers again", "table" to table, "failures" to failures)
+                    }
                     failures = 0
                     continue
                 }
@@ -167,7 +170,13 @@
 
         private suspend fun askIfBehind(): StoreError? {
             if (peerRevision <= rowRevision) return null
-            log.belief("site", "a peer has newer rows", "table" to table, "revision" to rowRevision, "peer" to peerRevision)
+            log.belief(
+                "site",
+                "a peer has newer rows",
+                "table" to table,
+                "revision" to rowRevision,
+                "peer" to peerRevision,
+            )
             return ask(Duration.ZERO)
         }
 
@@ -189,7 +198,15 @@
                 revision = maxOf(revision, rows.revision)
             }
             if (rows.rows.isNotEmpty() && reading.feedWait() != null) {
-                reading.handOn(RowsPart(table, after, rows.rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }))
+                reading.handOn(
+                    RowsPart(
+                        table,
+                        after,
+                        rows.rows.map {
+                            RowPart(it.key, it.value, it.revision, it.isDeleted)
+                        },
+                    ),
+                )
             }
             return null
         }
--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -32,7 +32,9 @@
             val ini = try {
                 IniFile.parse(file.readText().removePrefix("\uFEFF"))
             } catch (e: IOException) {
-                return listOf(SettingFault(file.path, 0, "the file", file.path, "a readable file (${e.message})")).left()
+                return listOf(
+                    SettingFault(file.path, 0, "the file", file.path, "a readable file (${e.message})"),
+                ).left()
             } catch (e: ConfigurationException) {
                 return listOf(SettingFault(file.path, 0, "the file", file.path, "INI (${e.message})")).left()
             }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
@@ -53,7 +53,8 @@
         sent += id.value to request
         Scripted(id, if (scripts.size > 1) scripts.removeFirst() else scripts.first())
     }
-    val flow = RequestFlow(clocks, site, pool, client, counts, log, GatewayMetrics(PrometheusRegistry()), random) { isLeaving }
+    val flow =
+        RequestFlow(clocks, site, pool, client, counts, log, GatewayMetrics(PrometheusRegistry()), random) { isLeaving }
 
     init {
         if (isConfigured) site.replaceOperators(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
@@ -98,9 +99,10 @@
             "limits":{"max_body_bytes":1000},
             "tenants":[{"name":"w","api_keys":["k"],"unit":"token_stream","plain_tokens":1,"rate_per_s":100,"burst":100}]}"""
 
-        fun entry(address: String, slots: Int = 4, state: String = "ready", extra: String = "") =
-            ("""{"service":"plain","address":"$address","zone":"a","version":"v1","slots":$slots,"state":"$state",""" +
-                """"cold_remaining_ms":0,"sequence":1,"born":7$extra}""").encodeToByteArray()
+        fun entry(address: String, slots: Int = 4, state: String = "ready", extra: String = "") = (
+            """{"service":"plain","address":"$address","zone":"a","version":"v1","slots":$slots,"state":"$state",""" +
+                """"cold_remaining_ms":0,"sequence":1,"born":7$extra}"""
+            ).encodeToByteArray()
     }
 }
 
@@ -112,8 +114,11 @@
     private val goneAt: (() -> Boolean) = { false },
 ) : CallerExchange {
     override val request = CallerRequest(
-        method, path, "h",
-        listOf("X-Berylpoint-Request-Id" to "r1", "Authorization" to "Bearer k") + headers, ByteArray(0),
+        method,
+        path,
+        "h",
+        listOf("X-Berylpoint-Request-Id" to "r1", "Authorization" to "Bearer k") + headers,
+        ByteArray(0),
     )
     var status = 0
     var headers = emptyList<Pair<String, String>>()
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
@@ -15,65 +15,74 @@
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 
-class HttpServerClientTest : FunSpec({
-    test("a request goes out with the caller's target and no headers of the library") {
-        RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").use { server ->
-            collect(server, request("/a%2Fb/c?x=1&y"))
-            server.requests[0] shouldContain "POST /a%2Fb/c?x=1&y HTTP/1.1\r\n"
-            server.requests[0] shouldNotContain "Accept-Encoding"
-            server.requests[0] shouldNotContain "User-Agent"
+class HttpServerClientTest :
+    FunSpec({
+        test("a request goes out with the caller's target and no headers of the library") {
+            RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").use { server ->
+                collect(server, request("/a%2Fb/c?x=1&y"))
+                server.requests[0] shouldContain "POST /a%2Fb/c?x=1&y HTTP/1.1\r\n"
+                server.requests[0] shouldNotContain "Accept-Encoding"
+                server.requests[0] shouldNotContain "User-Agent"
+            }
         }
-    }
 
-    // Guards against OkHttp's own second send, which would run a request twice.
-    for (status in listOf("503 Service Unavailable\r\nRetry-After: 0", "408 Request Timeout", "421 Misdirected Request")) {
-        test("a request is sent once although the server answers ${status.take(3)}") {
-            RawServer("HTTP/1.1 $status\r\nContent-Length: 0\r\n\r\n").use { server ->
-                collect(server, request("/a"))
-                server.requests shouldHaveSize 1
+        // Guards against OkHttp's own second send, which would run a request twice.
+        for (status in listOf(
+            "503 Service Unavailable\r\nRetry-After: 0",
+            "408 Request Timeout",
+            "421 Misdirected Request",
+        )) {
+            test("a request is sent once although the server answers ${status.take(3)}") {
+                RawServer("HTTP/1.1 $status\r\nContent-Length: 0\r\n\r\n").use { server ->
+                    collect(server, request("/a"))
+                    server.requests shouldHaveSize 1
+                }
             }
         }
-    }
 
-    test("an answer that belongs to another request is no answer") {
-        RawServer("HTTP/1.1 200 OK\r\nX-Berylpoint-Request-Id: other\r\nContent-Length: 2\r\n\r\nok").use { server ->
-            collect(server, request("/a")).single().shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe true
+        test("an answer that belongs to another request is no answer") {
+            RawServer(
+                "HTTP/1.1 200 OK\r\nX-Berylpoint-Request-Id: other\r\nContent-Length: 2\r\n\r\nok",
+            ).use { server ->
+                collect(server, request("/a")).single().shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe true
+            }
         }
-    }
 
-    test("an answer shorter than its length is no complete answer") {
-        RawServer("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", closes = true).use { server ->
-            collect(server, request("/a")).last().shouldBeInstanceOf<ServerEvent.Failed>()
+        test("an answer shorter than its length is no complete answer") {
+            RawServer("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", closes = true).use { server ->
+                collect(server, request("/a")).last().shouldBeInstanceOf<ServerEvent.Failed>()
+            }
         }
-    }
 
-    test("bytes that are no answer fail the request, which may have run") {
-        RawServer("garbage\r\n\r\n", closes = true).use { server ->
-            collect(server, request("/a")).last().shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe true
+        test("bytes that are no answer fail the request, which may have run") {
+            RawServer("garbage\r\n\r\n", closes = true).use { server ->
+                collect(server, request("/a")).last().shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe true
+            }
         }
-    }
 
-    test("a refused connection leaves the request unsent") {
-        val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-        val events = collect("127.0.0.1:$port", request("/a"))
-        events.single().shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe false
-    }
+        test("a refused connection leaves the request unsent") {
+            val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+            val events = collect("127.0.0.1:$port", request("/a"))
+            events.single().shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe false
+        }
 
-    test("events of a stream come whole and in order, with their ids") {
-        val body = (1..200).joinToString("") { "id: $it\ndata: é$it\n\n" }
-        RawServer("HTTP/1.1 200 OK\r\nContent-Length: ${body.encodeToByteArray().size}\r\n\r\n$body").use { server ->
-            val parts = collect(server, request("/a", isStream = true)).filterIsInstance<ServerEvent.Part>()
-            parts.map { it.eventId } shouldBe (1L..200L).toList()
-            parts.joinToString("") { it.bytes.decodeToString() } shouldBe body
+        test("events of a stream come whole and in order, with their ids") {
+            val body = (1..200).joinToString("") { "id: $it\ndata: é$it\n\n" }
+            RawServer(
+                "HTTP/1.1 200 OK\r\nContent-Length: ${body.encodeToByteArray().size}\r\n\r\n$body",
+            ).use { server ->
+                val parts = collect(server, request("/a", isStream = true)).filterIsInstance<ServerEvent.Part>()
+                parts.map { it.eventId } shouldBe (1L..200L).toList()
+                parts.joinToString("") { it.bytes.decodeToString() } shouldBe body
+            }
         }
-    }
 
-    test("targets that the library would change are known") {
-        HttpServerClient.canSend("/a/b?x=%20&y") shouldBe true
-        HttpServerClient.canSend("/a/../b") shouldBe false
-        HttpServerClient.canSend("/a|b") shouldBe false
-    }
-})
+        test("targets that the library would change are known") {
+            HttpServerClient.canSend("/a/b?x=%20&y") shouldBe true
+            HttpServerClient.canSend("/a/../b") shouldBe false
+            HttpServerClient.canSend("/a|b") shouldBe false
+        }
+    })
 
 private fun request(target: String, isStream: Boolean = false) =
     ServerRequest("mine", "POST", target, listOf("Host" to "h.example"), "body".encodeToByteArray(), isStream, false)
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/SiteStateTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/SiteStateTest.kt
@@ -9,65 +9,68 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
 
-class SiteStateTest : FunSpec({
-    test("a configuration never goes back, whatever a stale read says") {
-        val (state, _) = scene()
-        state.updateOperators(listOf(config(7, revision = 20)))
-        state.replaceOperators(listOf(config(5, revision = 10)))
-        state.view.config?.version shouldBe 7
-    }
+class SiteStateTest :
+    FunSpec({
+        test("a configuration never goes back, whatever a stale read says") {
+            val (state, _) = scene()
+            state.updateOperators(listOf(config(7, revision = 20)))
+            state.replaceOperators(listOf(config(5, revision = 10)))
+            state.view.config?.version shouldBe 7
+        }
 
-    test("an unreadable configuration leaves the last one in force") {
-        val (state, _) = scene()
-        state.updateOperators(listOf(config(7, revision = 20)))
-        state.updateOperators(listOf(StoreRow("op", "config", "{".encodeToByteArray(), 30)))
-        state.view.config?.version shouldBe 7
-    }
+        test("an unreadable configuration leaves the last one in force") {
+            val (state, _) = scene()
+            state.updateOperators(listOf(config(7, revision = 20)))
+            state.updateOperators(listOf(StoreRow("op", "config", "{".encodeToByteArray(), 30)))
+            state.view.config?.version shouldBe 7
+        }
 
-    test("entries that lapse while the store is away stay until it has been back for a while") {
-        val (state, time) = scene()
-        state.replaceServers(listOf(server("a", 5)))
-        state.storeFailed()
-        time += 300.milliseconds
-        state.replaceServers(emptyList())
-        state.view.servers.size shouldBe 1
-        time += 2_500.milliseconds
-        state.expireMissing()
-        state.view.servers.size shouldBe 0
-    }
+        test("entries that lapse while the store is away stay until it has been back for a while") {
+            val (state, time) = scene()
+            state.replaceServers(listOf(server("a", 5)))
+            state.storeFailed()
+            time += 300.milliseconds
+            state.replaceServers(emptyList())
+            state.view.servers.size shouldBe 1
+            time += 2_500.milliseconds
+            state.expireMissing()
+            state.view.servers.size shouldBe 0
+        }
 
-    test("an entry that comes back after the store's return is kept") {
-        val (state, time) = scene()
-        state.replaceServers(listOf(server("a", 5)))
-        state.storeFailed()
-        state.replaceServers(emptyList())
-        state.updateServers(listOf(server("a", 9)))
-        time += 3_000.milliseconds
-        state.expireMissing()
-        state.view.servers.size shouldBe 1
-    }
+        test("an entry that comes back after the store's return is kept") {
+            val (state, time) = scene()
+            state.replaceServers(listOf(server("a", 5)))
+            state.storeFailed()
+            state.replaceServers(emptyList())
+            state.updateServers(listOf(server("a", 9)))
+            time += 3_000.milliseconds
+            state.expireMissing()
+            state.view.servers.size shouldBe 1
+        }
 
-    test("a foreign entry names no server to use, and the others hold") {
-        val (state, _) = scene()
-        val foreign = listOf(
-            "not json", "{}", """{"service":1,"address":"10.0.0.1:80"}""",
-            """{"service":"s","address":"host:80","zone":"a","version":"v","slots":2,"state":"ready","cold_remaining_ms":0}""",
-            """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":2,"state":"odd","cold_remaining_ms":0}""",
-            """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":"2","state":"ready","cold_remaining_ms":0}""",
-        )
-        val rows = foreign.mapIndexed { index, text -> StoreRow("servers", "f$index", text.encodeToByteArray(), 9) }
-        state.replaceServers(rows + server("a", 5))
-        state.view.servers.keys.map { it.value } shouldBe listOf("a")
-    }
+        test("a foreign entry names no server to use, and the others hold") {
+            val (state, _) = scene()
+            val foreign = listOf(
+                "not json",
+                "{}",
+                """{"service":1,"address":"10.0.0.1:80"}""",
+                """{"service":"s","address":"host:80","zone":"a","version":"v","slots":2,"state":"ready","cold_remaining_ms":0}""",
+                """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":2,"state":"odd","cold_remaining_ms":0}""",
+                """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":"2","state":"ready","cold_remaining_ms":0}""",
+            )
+            val rows = foreign.mapIndexed { index, text -> StoreRow("servers", "f$index", text.encodeToByteArray(), 9) }
+            state.replaceServers(rows + server("a", 5))
+            state.view.servers.keys.map { it.value } shouldBe listOf("a")
+        }
 
-    test("a domain taken out comes back when its row is removed, also by a full read") {
-        val (state, _) = scene()
-        state.updateOperators(listOf(StoreRow("op", "evacuate/z", "{}".encodeToByteArray(), 5)))
-        state.view.outOfService shouldBe setOf(FailureDomain("z"))
-        state.replaceOperators(emptyList())
-        state.view.outOfService shouldBe emptySet()
-    }
-})
+        test("a domain taken out comes back when its row is removed, also by a full read") {
+            val (state, _) = scene()
+            state.updateOperators(listOf(StoreRow("op", "evacuate/z", "{}".encodeToByteArray(), 5)))
+            state.view.outOfService shouldBe setOf(FailureDomain("z"))
+            state.replaceOperators(emptyList())
+            state.view.outOfService shouldBe emptySet()
+        }
+    })
 
 private fun scene(): Pair<SiteState, TestTimeSource> {
     val time = TestTimeSource()
@@ -75,14 +78,16 @@
 }
 
 private fun config(version: Int, revision: Long) = StoreRow(
-    "op", "config",
+    "op",
+    "config",
     """{"version":$version,"routes":[{"name":"r","host":"h","prefix":"/","kind":"safe","service":"s"}],"services":[{"name":"s"}]}"""
         .encodeToByteArray(),
     revision,
 )
 
 private fun server(id: String, revision: Long) = StoreRow(
-    "servers", id,
+    "servers",
+    id,
     """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":2,"state":"ready","cold_remaining_ms":0}"""
         .encodeToByteArray(),
     revision,
--- a/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
@@ -63,7 +63,10 @@
         val limit = demand.targetMillis * patience(demand.priority)
         val fastest = room.minOf { delayMillis(demand, it, preferred) }
         if (fastest > limit) return Choice.Full((fastest - limit).toLong().coerceAtLeast(MIN_WAIT_MILLIS))
-        val inTime = room.filter { delayMillis(demand, it, preferred) <= maxOf(fastest, demand.targetMillis * CALM_SHARE) }
+        val inTime = room.filter {
+            delayMillis(demand, it, preferred) <=
+                maxOf(fastest, demand.targetMillis * CALM_SHARE)
+        }
         val chosen = inTime.minBy { cost(demand, it, preferred) }
         return Choice.Send(chosen.id, delayMillis(demand, chosen, preferred))
     }
--- a/policy/src/test/kotlin/org/berylpoint/policy/capacity/CapacityPlanTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/capacity/CapacityPlanTest.kt
@@ -7,50 +7,55 @@
 import io.kotest.matchers.shouldBe
 import org.berylpoint.model.FailureDomain
 
-class CapacityPlanTest : FunSpec({
-    test("calm load: reclaimable servers carry it even without one domain, and on-demand ones are the base") {
-        val orders = CapacityPlan.orders(6.0, domains(warm = 3), BOUNDS)
-        orders.sumOf { it.reclaimable } - orders.maxOf { it.reclaimable } shouldBeGreaterThanOrEqual 6
-        orders.sumOf { it.onDemand } shouldBe 3
-    }
-
-    test("start: before reclaimable servers are warm, on-demand ones carry the whole load") {
-        CapacityPlan.orders(6.0, domains(warm = 0), BOUNDS).sumOf { it.onDemand } shouldBeGreaterThanOrEqual 6
-    }
-
-    test("reclaim of every domain: on-demand servers are ordered for what is missing, no reclaimable ones") {
-        val orders = CapacityPlan.orders(6.0, domains(warm = 0).map { it.copy(isReclaimableShort = true) }, BOUNDS)
-        orders.sumOf { it.reclaimable } shouldBe 0
-        orders.sumOf { it.onDemand } shouldBeGreaterThanOrEqual 6
-    }
-
-    test("domain out of service: nothing beyond the least is ordered there") {
-        val supplies = domains(warm = 3)
-        val orders = CapacityPlan.orders(6.0, listOf(supplies[0].copy(isOutOfService = true)) + supplies.drop(1), BOUNDS)
-        orders.first().reclaimable shouldBe 0
-        orders.first().onDemand shouldBe BOUNDS.min
-    }
-
-    test("bounds: both kinds together stay within the most of a domain") {
-        val orders = CapacityPlan.orders(60.0, domains(warm = 0), BOUNDS)
-        orders.forEach { (it.onDemand + it.reclaimable) shouldBeLessThan BOUNDS.max + 1 }
-    }
-
-    test("price: the base stands in the cheapest domains") {
-        val base = CapacityPlan.orders(4.0, domains(warm = 3), BOUNDS.copy(min = 0)).filter { it.onDemand > 0 }
-        base.map { it.domain.name } shouldBe listOf("b", "d")
-    }
-
-    test("wave: demand counts as the highest of the last seconds") {
-        val meter = DemandMeter()
-        var sum = 0L
-        for (now in 0L..20_000L step 500) {
-            sum += if (now in 8_000..12_000) 100_000 else 10_000
-            meter.add(mapOf("p" to sum), active = 3, nowMillis = now)
+class CapacityPlanTest :
+    FunSpec({
+        test("calm load: reclaimable servers carry it even without one domain, and on-demand ones are the base") {
+            val orders = CapacityPlan.orders(6.0, domains(warm = 3), BOUNDS)
+            orders.sumOf { it.reclaimable } - orders.maxOf { it.reclaimable } shouldBeGreaterThanOrEqual 6
+            orders.sumOf { it.onDemand } shouldBe 3
         }
-        meter.demand()!!.promptTokensPerSecond shouldBeGreaterThan 150_000.0
-    }
-})
+
+        test("start: before reclaimable servers are warm, on-demand ones carry the whole load") {
+            CapacityPlan.orders(6.0, domains(warm = 0), BOUNDS).sumOf { it.onDemand } shouldBeGreaterThanOrEqual 6
+        }
+
+        test("reclaim of every domain: on-demand servers are ordered for what is missing, no reclaimable ones") {
+            val orders = CapacityPlan.orders(6.0, domains(warm = 0).map { it.copy(isReclaimableShort = true) }, BOUNDS)
+            orders.sumOf { it.reclaimable } shouldBe 0
+            orders.sumOf { it.onDemand } shouldBeGreaterThanOrEqual 6
+        }
+
+        test("domain out of service: nothing beyond the least is ordered there") {
+            val supplies = domains(warm = 3)
+            val orders = CapacityPlan.orders(
+                6.0,
+                listOf(supplies[0].copy(isOutOfService = true)) + supplies.drop(1),
+                BOUNDS,
+            )
+            orders.first().reclaimable shouldBe 0
+            orders.first().onDemand shouldBe BOUNDS.min
+        }
+
+        test("bounds: both kinds together stay within the most of a domain") {
+            val orders = CapacityPlan.orders(60.0, domains(warm = 0), BOUNDS)
+            orders.forEach { (it.onDemand + it.reclaimable) shouldBeLessThan BOUNDS.max + 1 }
+        }
+
+        test("price: the base stands in the cheapest domains") {
+            val base = CapacityPlan.orders(4.0, domains(warm = 3), BOUNDS.copy(min = 0)).filter { it.onDemand > 0 }
+            base.map { it.domain.name } shouldBe listOf("b", "d")
+        }
+
+        test("wave: demand counts as the highest of the last seconds") {
+            val meter = DemandMeter()
+            var sum = 0L
+            for (now in 0L..20_000L step 500) {
+                sum += if (now in 8_000..12_000) 100_000 else 10_000
+                meter.add(mapOf("p" to sum), active = 3, nowMillis = now)
+            }
+            meter.demand()!!.promptTokensPerSecond shouldBeGreaterThan 150_000.0
+        }
+    })
 
 private val BOUNDS = CapacityBounds(min = 1, max = 10, hasReclaimable = true)
 
--- a/policy/src/test/kotlin/org/berylpoint/policy/placement/ColdPaceTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/placement/ColdPaceTest.kt
@@ -5,23 +5,24 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 
-class ColdPaceTest : FunSpec({
-    for (count in listOf(1, 3, 9, 76)) {
-        test("cold pool: $count instances together send no more than the bound in any second") {
-            val names = (1..count).map { "entry-$it" }
-            val paces = names.associateWith { ColdPace(PER_SECOND) }
-            val sent = (0L until 5_000L step 10).flatMap { now ->
-                names.filter { paces.getValue(it).tryTake(it, "server-1", names, now) }.map { now }
+class ColdPaceTest :
+    FunSpec({
+        for (count in listOf(1, 3, 9, 76)) {
+            test("cold pool: $count instances together send no more than the bound in any second") {
+                val names = (1..count).map { "entry-$it" }
+                val paces = names.associateWith { ColdPace(PER_SECOND) }
+                val sent = (0L until 5_000L step 10).flatMap { now ->
+                    names.filter { paces.getValue(it).tryTake(it, "server-1", names, now) }.map { now }
+                }
+                val busiest = (0L until 5_000L step 10).maxOf { from -> sent.count { it in from until from + 1_000 } }
+                busiest shouldBeLessThanOrEqual PER_SECOND.toInt()
+                busiest shouldBeGreaterThan PER_SECOND.toInt() / 2
             }
-            val busiest = (0L until 5_000L step 10).maxOf { from -> sent.count { it in from until from + 1_000 } }
-            busiest shouldBeLessThanOrEqual PER_SECOND.toInt()
-            busiest shouldBeGreaterThan PER_SECOND.toInt() / 2
         }
-    }
 
-    test("cold pool: an instance that others do not know sends nothing") {
-        ColdPace(PER_SECOND).share("stranger", "server-1", listOf("a", "b")) shouldBe 0
-    }
-})
+        test("cold pool: an instance that others do not know sends nothing") {
+            ColdPace(PER_SECOND).share("stranger", "server-1", listOf("a", "b")) shouldBe 0
+        }
+    })
 
 private const val PER_SECOND = 17.0
--- a/policy/src/test/kotlin/org/berylpoint/policy/placement/ServerHealthTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/placement/ServerHealthTest.kt
@@ -5,30 +5,31 @@
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 
-class ServerHealthTest : FunSpec({
-    test("dark crash: an unreachable server rests, and longer each time") {
-        val health = ServerHealth()
-        health.add(AttemptSignal.UNREACHABLE, 0)
-        health.isResting(999) shouldBe true
-        health.isResting(1_000) shouldBe false
-        health.add(AttemptSignal.UNREACHABLE, 1_000)
-        health.isResting(2_999) shouldBe true
-    }
+class ServerHealthTest :
+    FunSpec({
+        test("dark crash: an unreachable server rests, and longer each time") {
+            val health = ServerHealth()
+            health.add(AttemptSignal.UNREACHABLE, 0)
+            health.isResting(999) shouldBe true
+            health.isResting(1_000) shouldBe false
+            health.add(AttemptSignal.UNREACHABLE, 1_000)
+            health.isResting(2_999) shouldBe true
+        }
 
-    test("grey server: one that fails most requests rests, one that fails a few does not") {
-        val grey = ServerHealth()
-        repeat(8) { grey.add(AttemptSignal.FAILED, 0) }
-        grey.isResting(1) shouldBe true
-        val usual = ServerHealth()
-        repeat(50) { usual.add(if (it % 7 == 0) AttemptSignal.FAILED else AttemptSignal.GOOD, 0) }
-        usual.isResting(1) shouldBe false
-    }
+        test("grey server: one that fails most requests rests, one that fails a few does not") {
+            val grey = ServerHealth()
+            repeat(8) { grey.add(AttemptSignal.FAILED, 0) }
+            grey.isResting(1) shouldBe true
+            val usual = ServerHealth()
+            repeat(50) { usual.add(if (it % 7 == 0) AttemptSignal.FAILED else AttemptSignal.GOOD, 0) }
+            usual.isResting(1) shouldBe false
+        }
 
-    test("slow server: delays above what was expected raise the factor, and usual ones lower it again") {
-        val health = ServerHealth()
-        repeat(20) { health.addDelay(400.0, 50.0) }
-        health.slowness shouldBeGreaterThan 5.0
-        repeat(40) { health.addDelay(50.0, 50.0) }
-        health.slowness shouldBeLessThan 1.1
-    }
-})
+        test("slow server: delays above what was expected raise the factor, and usual ones lower it again") {
+            val health = ServerHealth()
+            repeat(20) { health.addDelay(400.0, 50.0) }
+            health.slowness shouldBeGreaterThan 5.0
+            repeat(40) { health.addDelay(50.0, 50.0) }
+            health.slowness shouldBeLessThan 1.1
+        }
+    })
--- a/policy/src/test/kotlin/org/berylpoint/policy/quota/UsageCapTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/quota/UsageCapTest.kt
@@ -6,48 +6,49 @@
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
 
-class UsageCapTest : FunSpec({
-    test("flood of one workspace: nine instances with late reports stay within the window's bound") {
-        val admitted = flood(instances = 9, reportMillis = 250, perSecond = 1_000_000.0, cost = 9_000.0)
-        busiest(admitted) shouldBeLessThanOrEqual bound()
-        busiest(admitted) shouldBeGreaterThan RATE * 8
-    }
+class UsageCapTest :
+    FunSpec({
+        test("flood of one workspace: nine instances with late reports stay within the window's bound") {
+            val admitted = flood(instances = 9, reportMillis = 250, perSecond = 1_000_000.0, cost = 9_000.0)
+            busiest(admitted) shouldBeLessThanOrEqual bound()
+            busiest(admitted) shouldBeGreaterThan RATE * 8
+        }
 
-    test("flood of one workspace: many instances with rare reports stay within the window's bound") {
-        val admitted = flood(instances = 60, reportMillis = 500, perSecond = 500_000.0, cost = 4_000.0)
-        busiest(admitted) shouldBeLessThanOrEqual bound()
-    }
+        test("flood of one workspace: many instances with rare reports stay within the window's bound") {
+            val admitted = flood(instances = 60, reportMillis = 500, perSecond = 500_000.0, cost = 4_000.0)
+            busiest(admitted) shouldBeLessThanOrEqual bound()
+        }
 
-    test("usual load: nothing is refused below the cap") {
-        val cap = UsageCap(TOLERANCE)
-        val refused = (0L until 30_000L step 100).count { !cap.tryTake(RATE / 10, RATE, BURST, 1.0, 250, it) }
-        refused shouldBe 0
-    }
+        test("usual load: nothing is refused below the cap") {
+            val cap = UsageCap(TOLERANCE)
+            val refused = (0L until 30_000L step 100).count { !cap.tryTake(RATE / 10, RATE, BURST, 1.0, 250, it) }
+            refused shouldBe 0
+        }
 
-    test("partition: an instance that hears half of the others admits half of the cap") {
-        val cap = UsageCap(TOLERANCE)
-        val total = (0L until 8_000L step 10).sumOf { now ->
-            if (cap.tryTake(10_000.0, RATE, BURST, 0.5, 250, now)) 10_000.0 else 0.0
+        test("partition: an instance that hears half of the others admits half of the cap") {
+            val cap = UsageCap(TOLERANCE)
+            val total = (0L until 8_000L step 10).sumOf { now ->
+                if (cap.tryTake(10_000.0, RATE, BURST, 0.5, 250, now)) 10_000.0 else 0.0
+            }
+            total shouldBeLessThanOrEqual bound() / 2
         }
-        total shouldBeLessThanOrEqual bound() / 2
-    }
 
-    test("a refused request leaves its part of the cap to others") {
-        val cap = UsageCap(TOLERANCE)
-        while (cap.tryTake(50_000.0, RATE, BURST, 1.0, 250, 0)) Unit
-        cap.giveBack(200_000.0, 0)
-        cap.tryTake(50_000.0, RATE, BURST, 1.0, 250, 0) shouldBe true
-    }
+        test("a refused request leaves its part of the cap to others") {
+            val cap = UsageCap(TOLERANCE)
+            while (cap.tryTake(50_000.0, RATE, BURST, 1.0, 250, 0)) Unit
+            cap.giveBack(200_000.0, 0)
+            cap.tryTake(50_000.0, RATE, BURST, 1.0, 250, 0) shouldBe true
+        }
 
-    test("the wait that is told is the time after which the window has room") {
-        val cap = UsageCap(TOLERANCE)
-        var now = 0L
-        while (cap.tryTake(100_000.0, RATE, BURST, 1.0, 250, now)) now += 100
-        val wait = cap.waitMillis(RATE, BURST, 1.0, now)
-        cap.tryTake(1.0, RATE, BURST, 1.0, 250, now + wait - 100) shouldBe false
-        cap.tryTake(1.0, RATE, BURST, 1.0, 250, now + wait + 100) shouldBe true
-    }
-})
+        test("the wait that is told is the time after which the window has room") {
+            val cap = UsageCap(TOLERANCE)
+            var now = 0L
+            while (cap.tryTake(100_000.0, RATE, BURST, 1.0, 250, now)) now += 100
+            val wait = cap.waitMillis(RATE, BURST, 1.0, now)
+            cap.tryTake(1.0, RATE, BURST, 1.0, 250, now + wait - 100) shouldBe false
+            cap.tryTake(1.0, RATE, BURST, 1.0, 250, now + wait + 100) shouldBe true
+        }
+    })
 
 private const val RATE = 100_000.0
 private const val BURST = 100_000.0
