Bind the callers' address before the rest of the start

Ruled out: waiting for the configuration, which is there at 60.65 s. Change: the listening socket is the first thing that is opened; connections wait in its queue.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -32,6 +32,8 @@
 import org.berylpoint.platform.cloud.CloudClient
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
+import java.net.InetSocketAddress
+import java.nio.channels.ServerSocketChannel
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -39,6 +41,11 @@
 
 /** An entry instance on the operators' platform: wires the parts together, starts and stops them. */
 public class GatewayProcess(private val settings: GatewaySettings, timeOfDay: () -> Long) {
+    // Bound before everything else, so that callers who connect during the start wait instead of being turned away.
+    private val callerChannel = ServerSocketChannel.open().bind(
+        InetSocketAddress(settings.callerAddress.host, settings.callerAddress.port),
+        FrontServer.ACCEPT_QUEUE,
+    )
     private val clocks = Clocks(TimeSource.Monotonic, timeOfDay)
     private val startedAt = timeOfDay()
     private val random = Random(startedAt xor settings.instance.hashCode().toLong())
@@ -77,7 +84,14 @@
         ::received,
     )
     private val front =
-        FrontServer(settings, registry, FrontHandlers(flow::serve, ::isReady, { isStopping }, ::dump, ::maxBody))
+        FrontServer(
+            settings,
+            callerChannel,
+            registry,
+            FrontHandlers(flow::serve, ::isReady, {
+                isStopping
+            }, ::dump, ::maxBody),
+        )
     private var sequence = 0L
 
     @Volatile
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/FrontServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/FrontServer.kt
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.nio.channels.ServerSocketChannel
 
 private val logger = KotlinLogging.logger {}
 
@@ -39,6 +40,8 @@
  */
 public class FrontServer(
     private val settings: GatewaySettings,
+    /** Bound to the callers' address. */
+    private val callerChannel: ServerSocketChannel,
     private val registry: PrometheusRegistry,
     private val handlers: FrontHandlers,
 ) : AutoCloseable {
@@ -83,6 +86,7 @@
         connector.port = address.port
         connector.acceptQueueSize = ACCEPT_QUEUE
         connector.idleTimeout = FIRST_IDLE_MILLIS
+        if (address == settings.callerAddress) connector.open(callerChannel)
         return connector
     }
 
@@ -139,18 +143,20 @@
         }
     }
 
-    private companion object {
-        const val MAX_THREADS = 500
-        const val MIN_THREADS = 8
-        const val MAX_HEADER_BYTES = 32_768
-        const val ACCEPT_QUEUE = 512
-        const val FIRST_IDLE_MILLIS = 60_000L
-        const val IDLE_SLACK_MILLIS = 15_000L
-        const val OK = 200
-        const val NOT_FOUND = 404
-        const val TOO_LARGE = 413
-        const val UNAVAILABLE = 503
-        val METHODS = listOf(
+    public companion object {
+        /** Connections that may wait to be accepted. */
+        public const val ACCEPT_QUEUE: Int = 512
+
+        private const val MAX_THREADS = 500
+        private const val MIN_THREADS = 8
+        private const val MAX_HEADER_BYTES = 32_768
+        private const val FIRST_IDLE_MILLIS = 60_000L
+        private const val IDLE_SLACK_MILLIS = 15_000L
+        private const val OK = 200
+        private const val NOT_FOUND = 404
+        private const val TOO_LARGE = 413
+        private const val UNAVAILABLE = 503
+        private val METHODS = listOf(
             HandlerType.GET,
             HandlerType.POST,
             HandlerType.PUT,
