Reset connections that are given up, so that nothing of them arrives later

Ruled out: a holder that acts after its lease (its own clocks ended it, and the next renewal found the conflict).

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
@@ -19,6 +19,7 @@
 import okio.Buffer
 import okio.BufferedSource
 import org.berylpoint.model.BackendServerId
+import org.berylpoint.platform.store.ResettingSocketFactory
 import org.berylpoint.platform.wire.RequestHeaders
 import java.io.IOException
 import java.net.Proxy
@@ -34,6 +35,7 @@
     AutoCloseable {
     private val pooled = OkHttpClient.Builder()
         .proxy(Proxy.NO_PROXY)
+        .socketFactory(ResettingSocketFactory)
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
