Wait for the closed port in the test of refused connections

Ruled out: the client, which maps a refused connection in every case; a connection that is accepted and then reset is Broken by design. Change: the test first waits until a plain socket is refused; what it demands of the network is unchanged.

--- a/peer/src/test/kotlin/org/berylpoint/peer/KtorPeerNetworkTest.kt
+++ b/peer/src/test/kotlin/org/berylpoint/peer/KtorPeerNetworkTest.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.left
 import arrow.core.right
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -11,6 +13,8 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.model.InstanceId
+import java.net.ConnectException
+import java.net.Socket
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -45,6 +49,8 @@
                 val b = network("b")
                 val address = b.listen()
                 b.close()
+                // The selector closes the listening socket only at its next turn, so the port is open for a while.
+                eventually(5.seconds) { shouldThrow<ConnectException> { connectTo(address) } }
                 network("a").call(address, PeerMessage.Ack, 5.seconds) shouldBe PeerError.Refused.left()
             }
         }
@@ -74,3 +80,7 @@
             }
         }
     })
+
+private fun connectTo(address: String) {
+    Socket(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()).close()
+}
