Refuse unknown settings of serve, and take bounds that are fractions

Cause: the reader noted the keys it knew and never used them; a bound given as a fraction would have kept a process from starting on another deployment.

--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -71,10 +71,11 @@
         val ready = required("instance", "ready-address", SettingType.dialAddress)
         val report = required("instance", "report-address", SettingType.dialAddress)
         val metrics = required("instance", "metrics-address", SettingType.dialAddress)
-        val grace = optional("instance", "grace-seconds", SettingType.number(1L..600L, "seconds")) ?: DEFAULT_GRACE
+        val grace = optional("instance", "grace-seconds", DECIMAL)?.toLong() ?: DEFAULT_GRACE
         val store = required("platform", "store-address", SettingType.dialAddress)
         val cloud = optional("platform", "cloud-address", SettingType.dialAddress)
         val bounds = bounds()
+        refuseUnknownKeys()
         if (faults.isNotEmpty()) return faults.left()
         return GatewaySettings(
             instance = instance!!,
@@ -91,23 +92,33 @@
         ).right()
     }
 
+    private fun refuseUnknownKeys() {
+        for (entry in ini.entries) {
+            if (entry.section to entry.key in known) continue
+            val key = "[${entry.section}] ${entry.key}"
+            faults += SettingFault(file, entry.line, key, entry.value, "a key of docs/platform.md")
+        }
+    }
+
     private fun bounds() = GatewayBounds(
-        drainMillis = whole("drain-millis", 2_000),
-        leaseMillis = whole("lease-millis", 3_000),
-        usageWindowMillis = whole("usage-window-seconds", 5) * MILLIS,
-        usageLateMillis = whole("usage-late-seconds", 10) * MILLIS,
-        retryRatio = optional("bounds", "retry-ratio", DECIMAL) ?: 0.1,
-        retrySlack = optional("bounds", "retry-slack", DECIMAL) ?: 10.0,
-        retryWindowMillis = whole("retry-window-seconds", 10) * MILLIS,
+        drainMillis = bound("drain-millis", 2_000.0).toLong(),
+        leaseMillis = bound("lease-millis", 3_000.0).toLong(),
+        usageWindowMillis = seconds("usage-window-seconds", 5.0),
+        usageLateMillis = seconds("usage-late-seconds", 10.0),
+        retryRatio = bound("retry-ratio", 0.1),
+        retrySlack = bound("retry-slack", 10.0),
+        retryWindowMillis = seconds("retry-window-seconds", 10.0),
         capTolerance = CapTolerance(
-            windowMillis = whole("cap-window-seconds", 8) * MILLIS,
-            over = optional("bounds", "cap-over", DECIMAL) ?: 0.0,
-            slack = optional("bounds", "cap-slack", DECIMAL) ?: 0.0,
+            windowMillis = seconds("cap-window-seconds", 8.0),
+            over = bound("cap-over", 0.0),
+            slack = bound("cap-slack", 0.0),
         ),
     )
 
-    private fun whole(name: String, default: Long): Long =
-        optional("bounds", name, SettingType.number(0L..MAX_WHOLE, "units of its name")) ?: default
+    /** Bounds may be whole numbers or fractions. */
+    private fun bound(name: String, default: Double): Double = optional("bounds", name, DECIMAL) ?: default
+
+    private fun seconds(name: String, default: Double): Long = (bound(name, default) * MILLIS).toLong()
 
     private fun <T> required(section: String, name: String, type: SettingType<T>): T? {
         val value = optional(section, name, type)
@@ -134,9 +145,8 @@
         ini.entries.firstOrNull { it.section == section && it.key == name }?.value
 
     private companion object {
-        const val MILLIS = 1_000L
+        const val MILLIS = 1_000.0
         const val DEFAULT_GRACE = 8L
-        const val MAX_WHOLE = 1_000_000L
         val DECIMAL = SettingType("a number of 0 or more") { it.toDoubleOrNull()?.takeIf { n -> n >= 0 } }
     }
 }
