--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/WarmUp.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/WarmUp.kt
@@ -49,7 +49,6 @@
     private fun settings(site: SampleSite) = GatewaySettings(
         instance = "warm-up",
         domain = FailureDomain("sample"),
-        domains = listOf(FailureDomain("sample")),
         callerAddress = freeAddress(),
         readyAddress = freeAddress(),
         reportAddress = freeAddress(),
@@ -57,7 +56,7 @@
         graceSeconds = 1,
         storeAddress = site.address,
         cloudAddress = site.address,
-        bounds = GatewayBounds(2_000, 3_000, 1_000, 10_000, 0.1, 10.0, 10_000, CapTolerance(8_000, 0.1, 100.0)),
+        bounds = GatewayBounds(3_000, 1_000, 10_000, 0.1, 10.0, 10_000, CapTolerance(8_000, 0.1, 100.0)),
     )
 
     private fun freeAddress(): SocketAddress =
--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -13,7 +13,6 @@
 public data class GatewaySettings(
     val instance: String,
     val domain: FailureDomain,
-    val domains: List<FailureDomain>,
     val callerAddress: SocketAddress,
     val readyAddress: SocketAddress,
     val reportAddress: SocketAddress,
@@ -45,8 +44,6 @@
 
 /** Bounds that the platform's operators set. */
 public data class GatewayBounds(
-    /** Time after which a leaving server gets no new request. */
-    val drainMillis: Long,
     /** Shortest time between acts of one holder of a duty, with another holder's act in between. */
     val leaseMillis: Long,
     val usageWindowMillis: Long,
@@ -66,7 +63,6 @@
     fun read(): Either<List<SettingFault>, GatewaySettings> {
         val instance = required("instance", "id", SettingType.name)
         val domain = required("instance", "failure-domain", SettingType.name)
-        val domains = optional("instance", "failure-domains", SettingType.nameList).orEmpty()
         val caller = required("instance", "caller-address", SettingType.dialAddress)
         val ready = required("instance", "ready-address", SettingType.dialAddress)
         val report = required("instance", "report-address", SettingType.dialAddress)
@@ -80,7 +76,6 @@
         return GatewaySettings(
             instance = instance!!,
             domain = FailureDomain(domain!!),
-            domains = domains.map(::FailureDomain).ifEmpty { listOf(FailureDomain(domain)) },
             callerAddress = caller!!,
             readyAddress = ready!!,
             reportAddress = report!!,
@@ -101,7 +96,6 @@
     }
 
     private fun bounds() = GatewayBounds(
-        drainMillis = bound("drain-millis", 2_000.0).toLong(),
         leaseMillis = bound("lease-millis", 3_000.0).toLong(),
         usageWindowMillis = seconds("usage-window-seconds", 5.0),
         usageLateMillis = seconds("usage-late-seconds", 10.0),
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
@@ -84,7 +84,7 @@
     }
 
     companion object {
-        val BOUNDS = GatewayBounds(2_000, 3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0))
+        val BOUNDS = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0))
 
         private const val CONFIG = """{"version":5,"routes":[
             {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":120,
--- a/entry/src/test/kotlin/org/berylpoint/entry/settings/GatewaySettingsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/settings/GatewaySettingsTest.kt
@@ -13,7 +13,6 @@
             val values = mapOf(
                 "id" to "node-1",
                 "failure-domain" to "a",
-                "failure-domains" to "a,b",
                 "caller-address" to "10.0.0.1:80",
                 "ready-address" to "10.0.0.1:81",
                 "report-address" to "10.0.0.1:82",
