Keep paths out of metric labels, and split the end of an attempt

Cause: a refusal counted under the caller's path, so callers could make any number of labels; an answer that is broken off was never counted as such, since the abort throws. Change: refusals count under 'none', the count comes before the abort, the end of an attempt is told in three short functions; a field of the log line has a name of one word.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -62,7 +62,7 @@
         } catch (e: IOException) {
             val id = exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty()
             log.request("flow", id, "caller-gone", "cause" to e.message, "age" to clocks.steady - arrived)
-            metrics.ended("caller-gone", "", clocks.steady - arrived)
+            metrics.ended("caller-gone", NO_ROUTE, clocks.steady - arrived)
         } finally {
             running.decrementAndGet()
         }
@@ -75,7 +75,8 @@
             "retryAfter" to refusal.retryAfterMillis, "age" to clocks.steady - arrived,
             "target" to exchange.request.target,
         )
-        metrics.ended(kind.name, exchange.request.path.substringBeforeLast('/'), clocks.steady - arrived)
+        // A path that no route matches must not become a label: callers could send any number of them.
+        metrics.ended(kind.name, NO_ROUTE, clocks.steady - arrived)
         val headers = buildList {
             if (id.isNotEmpty()) add(RequestHeaders.REQUEST_ID to id)
             refusal.retryAfterMillis?.let { add(RequestHeaders.RETRY_AFTER to "%.2f".format(it / MILLIS)) }
@@ -151,32 +152,9 @@
         }
 
         private fun conclude(place: ServerPlace, end: AttemptEnd): Boolean {
-            val entry = place.server.entry
             pool.release(place, signalOf(end))
-            if (end is AttemptEnd.NotRun && !end.isArrived) unsent++ else sends++
-            if (end !is AttemptEnd.NotRun) {
-                runs++
-                if (!request.isStream && end !is AttemptEnd.CallerLeft) countRun()
-                if (end !is AttemptEnd.CallerLeft) {
-                    counts.outcome(
-                        request.service.name,
-                        entry.version,
-                        end is AttemptEnd.Complete,
-                    )
-                }
-            }
-            if (end is AttemptEnd.Complete) {
-                served(place, end)
-                return false
-            }
-            failure = end.toString()
-            log.request(
-                "flow", request.id, "attempt-failed", "server" to entry.id.value, "revision" to place.server.revision,
-                "cause" to failure, "age" to age(), "sends" to sends, "lastEvent" to progress.lastEventId,
-                "expected" to place.expectedMillis.toLong(),
-                "age-at-send" to place.takenAtMillis - request.arrivedAtMillis,
-            )
-            metrics.attemptFailed(end::class.simpleName.orEmpty())
+            count(place, end)
+            if (end !is AttemptEnd.Complete) noteFailure(place, end)
             return when (end) {
                 is AttemptEnd.Broke -> {
                     if (end.isConnectionLost) counts.crashed(request.fingerprint)
@@ -189,10 +167,33 @@
                     false
                 }
                 is AttemptEnd.CallerLeft -> throw IOException("the caller left")
-                is AttemptEnd.Complete -> false
+                is AttemptEnd.Complete -> {
+                    served(place, end)
+                    false
+                }
             }
         }
 
+        private fun count(place: ServerPlace, end: AttemptEnd) {
+            if (end is AttemptEnd.NotRun && !end.isArrived) unsent++ else sends++
+            if (end is AttemptEnd.NotRun) return
+            runs++
+            if (end is AttemptEnd.CallerLeft) return
+            if (!request.isStream) countRun()
+            counts.outcome(request.service.name, place.server.entry.version, end is AttemptEnd.Complete)
+        }
+
+        private fun noteFailure(place: ServerPlace, end: AttemptEnd) {
+            failure = end.toString()
+            log.request(
+                "flow", request.id, "attempt-failed", "server" to place.server.entry.id.value,
+                "revision" to place.server.revision, "cause" to failure, "age" to age(), "sends" to sends,
+                "lastEvent" to progress.lastEventId, "expected" to place.expectedMillis.toLong(),
+                "sentAfter" to place.takenAtMillis - request.arrivedAtMillis,
+            )
+            metrics.attemptFailed(end::class.simpleName.orEmpty())
+        }
+
         private fun afterFailure(): Boolean {
             if (mayRunAgain()) return true
             finalFailure(ErrorKind.BackendFailed)
@@ -209,12 +210,9 @@
             val isWithinLimit = sends < request.route.maxAttempts + EXTRA_SENDS && unsent < MAX_UNSENT
             val mayResend = isWithinLimit && remainingMillis() > MIN_USEFUL_MILLIS
             if (mayResend && (!end.isArrived || counts.tryRetry(request.service.name))) return true
-            if (runs >
-                0
-            ) {
-                finalFailure(ErrorKind.BackendFailed)
-            } else {
-                giveUp(ErrorKind.NoCapacity, end.toString(), REFUSED_WAIT_MILLIS)
+            when {
+                runs > 0 -> finalFailure(ErrorKind.BackendFailed)
+                else -> giveUp(ErrorKind.NoCapacity, end.toString(), REFUSED_WAIT_MILLIS)
             }
             return false
         }
@@ -232,8 +230,8 @@
 
         private fun finalFailure(kind: ErrorKind) {
             if (progress.isBegun) {
-                exchange.abort()
                 ended("broken-off")
+                exchange.abort()
             } else {
                 refuse(exchange, request.id, Refusal(kind, failure), request.arrivedAtMillis)
             }
@@ -301,6 +299,7 @@
 
     private companion object {
         const val MILLIS = 1000.0
+        const val NO_ROUTE = "none"
 
         /** Connections that one request may break at all instances together. */
         const val MAX_CRASHES = 3
