Order servers for a settled demand, and start serving sooner

At the site's first start the plan applies as soon as its servers have registered (new setting first-start).

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -111,11 +111,12 @@
         metrics.gauge("berylpoint_servers_known", "Backend servers known.") { site.view.servers.size.toDouble() }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.live.size.toDouble() }
         watcher.start(scope)
+        // Callers wait for the addresses, so what can come a moment later does.
+        front.start()
         scope.launch { reports.start(this) }
         scope.launch { lease.run { isStopping } }
         scope.launch { duties() }
         scope.launch { followIdleTimeout() }
-        front.start()
         log.belief("process", "the addresses are open", "caller" to settings.callerAddress)
     }
 
@@ -142,7 +143,7 @@
         )
     }
 
-    private fun isReady(): Boolean = !isStopping && site.view.config != null && site.view.hasServers
+    private fun isReady(): Boolean = !isStopping && site.view.isKnown
 
     private fun maxBody(): Int = site.view.config?.callerLimits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
@@ -150,7 +151,7 @@
         val cloudAddress = settings.cloudAddress ?: return
         val cloud = CloudClient(cloudAddress, http)
         val usage = UsageDuty(store, cloud, peers, clocks, settings.bounds, log, metrics, ::ownReport)
-        val capacity = CapacityDuty(cloud, site, peers, clocks, log, metrics, ::ownReport)
+        val capacity = CapacityDuty(cloud, site, peers, clocks, log, metrics, ::ownReport, settings.isFirstStart)
         while (true) {
             delay(DUTY_INTERVAL)
             rollouts.judge()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/WarmUp.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/WarmUp.kt
@@ -1,15 +1,14 @@
 package org.berylpoint.entry.gateway
 
+import arrow.core.getOrElse
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
-import org.berylpoint.entry.settings.GatewayBounds
 import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.entry.settings.SocketAddress
-import org.berylpoint.model.FailureDomain
 import org.berylpoint.platform.sample.SampleSite
 import org.berylpoint.platform.wire.RequestHeaders
-import org.berylpoint.policy.quota.CapTolerance
+import java.io.File
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -46,18 +45,33 @@
         }
     }
 
-    private fun settings(site: SampleSite) = GatewaySettings(
-        instance = "warm-up",
-        domain = FailureDomain("sample"),
-        callerAddress = freeAddress(),
-        readyAddress = freeAddress(),
-        reportAddress = freeAddress(),
-        metricsAddress = freeAddress(),
-        graceSeconds = 1,
-        storeAddress = site.address,
-        cloudAddress = site.address,
-        bounds = GatewayBounds(3_000, 1_000, 10_000, 0.1, 10.0, 10_000, CapTolerance(8_000, 0.1, 100.0)),
-    )
+    /** Settings that are read from a file, as at any start, so that the classes of the reader are loaded too. */
+    private fun settings(site: SampleSite): GatewaySettings {
+        val file = File.createTempFile("warm-up", ".ini")
+        try {
+            file.writeText(text(site))
+            return GatewaySettings.read(file).getOrElse { error("the settings of the warm-up are not usable: $it") }
+        } finally {
+            file.delete()
+        }
+    }
+
+    private fun text(site: SampleSite) = """
+        [instance]
+        id = warm-up
+        failure-domain = sample
+        caller-address = ${freeAddress()}
+        ready-address = ${freeAddress()}
+        report-address = ${freeAddress()}
+        metrics-address = ${freeAddress()}
+        grace-seconds = 1
+        [platform]
+        store-address = ${site.address}
+        cloud-address = ${site.address}
+        first-start = true
+        [bounds]
+        usage-window-seconds = 1
+    """.trimIndent()
 
     private fun freeAddress(): SocketAddress =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { SocketAddress("127.0.0.1", it.localPort) }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
@@ -26,6 +26,8 @@
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val ownReport: () -> NodeReport,
+    /** Whether the whole site starts for the first time, with the servers that it was set up with. */
+    private val isFirstStart: Boolean,
 ) {
     private data class Subject(val service: ServiceName, val domain: FailureDomain, val isReclaimable: Boolean)
 
@@ -34,6 +36,11 @@
     private val shrinkingSince = HashMap<Subject, Long>()
     private val meters = HashMap<ServiceName, DemandMeter>()
 
+    private class SetUp(val servers: Int, val sinceMillis: Long)
+
+    /** On-demand servers that the site was set up with. */
+    private val setUp = HashMap<ServiceName, SetUp>()
+
     /** Takes in the demand seen so far; every instance does, so that a new holder knows it. */
     public fun observe() {
         for (service in scaled()) {
@@ -57,19 +64,35 @@
 
     /** Sends the orders that changed. */
     public suspend fun step(holder: () -> DutyHolder?) {
-        for (service in scaled()) {
-            val limits = service.scaling ?: continue
-            val needed = meters[service.name]?.demand()?.needed(service.engine?.batchSlots ?: DEFAULT_SLOTS)
-            for (order in plan(service, limits, needed ?: expected(service))) {
-                send(Subject(service.name, order.domain, true), order.reclaimable, holder)
-                if (needed != null) send(Subject(service.name, order.domain, false), order.onDemand, holder)
-            }
+        for (service in scaled()) order(service, holder)
+    }
+
+    private suspend fun order(service: Service, holder: () -> DutyHolder?) {
+        val limits = service.scaling ?: return
+        val demand = meters[service.name]?.demand()
+        val needed = demand?.needed(service.engine?.batchSlots ?: DEFAULT_SLOTS) ?: expected(service) ?: return
+        val mayShrink = demand != null || isSetUp(service)
+        for (order in plan(service, limits, needed)) {
+            send(service, Subject(service.name, order.domain, true), order.reclaimable, holder)
+            if (mayShrink) send(service, Subject(service.name, order.domain, false), order.onDemand, holder)
         }
     }
 
-    /** Before there is any load, part of the servers that were set up are taken to be needed. */
-    private fun expected(service: Service): Double =
-        site.view.usable(service.name).count { !it.entry.isReclaimable } * EXPECTED_SHARE
+    /**
+     * Before there is any load, part of the servers that the site was set up with are taken to be needed. After a later
+     * start the servers that are there were ordered for a load, so they stay until it is measured: null.
+     */
+    private fun expected(service: Service): Double? {
+        if (!isFirstStart) return null
+        val present = site.view.usable(service.name).count { !it.entry.isReclaimable }
+        val known = setUp[service.name]?.takeIf { it.servers >= present }
+            ?: SetUp(present, clocks.steady).also { setUp[service.name] = it }
+        return known.servers * EXPECTED_SHARE
+    }
+
+    /** Whether all servers that start with the site are taken to have registered themselves. */
+    private fun isSetUp(service: Service): Boolean =
+        setUp[service.name]?.let { clocks.steady - it.sinceMillis >= SET_UP_MILLIS } ?: false
 
     private fun scaled(): List<Service> = site.view.config?.services?.values.orEmpty().filter { it.scaling != null }
 
@@ -81,6 +104,7 @@
                 domain,
                 price,
                 warmReclaimable(service, domain),
+                present(service, domain, true),
                 clocks.steady < until,
                 domain in site.view.outOfService,
             )
@@ -88,10 +112,14 @@
         bounds = CapacityBounds(limits.min, limits.max, limits.reclaimablePriceShare != null),
     )
 
-    private suspend fun send(subject: Subject, count: Int, holder: () -> DutyHolder?) {
+    private suspend fun send(service: Service, subject: Subject, count: Int, holder: () -> DutyHolder?) {
         // No reclaimable server is there before the first order.
         val last = ordered[subject] ?: if (subject.isReclaimable) 0 else null
-        if (last == count || isTooEarlyToShrink(subject, count)) return
+        if (last == count) {
+            shrinkingSince.remove(subject)
+            return
+        }
+        if (isTooEarlyToShrink(service, subject, count)) return
         val acting = holder() ?: return
         val result = cloud.orderServers(acting, subject.service, subject.domain, count, subject.isReclaimable)
         log.belief(
@@ -101,18 +129,22 @@
         )
         metrics.dutyCall("scaling", result.fold({ "error" }, { it.toString() }))
         val status = result.getOrNull()
-        if (status == OK) ordered[subject] = count
+        if (status == OK) {
+            ordered[subject] = count
+            shrinkingSince.remove(subject)
+        }
         if (status == NONE_AVAILABLE) shortUntil[subject.service to subject.domain] = clocks.steady + SHORT_MILLIS
     }
 
     /** Fewer servers are ordered only when fewer were enough for a while. */
-    private fun isTooEarlyToShrink(subject: Subject, count: Int): Boolean {
-        val last = ordered[subject] ?: Int.MAX_VALUE
-        if (count >= last) {
+    private fun isTooEarlyToShrink(service: Service, subject: Subject, count: Int): Boolean {
+        val last = ordered[subject] ?: present(service, subject.domain, subject.isReclaimable)
+        if (count > last) {
             shrinkingSince.remove(subject)
             return false
         }
-        return clocks.steady - shrinkingSince.getOrPut(subject) { clocks.steady } < SHRINK_MILLIS
+        val patience = if (subject.isReclaimable) RECLAIMABLE_SHRINK_MILLIS else SHRINK_MILLIS
+        return clocks.steady - shrinkingSince.getOrPut(subject) { clocks.steady } < patience
     }
 
     /** A domain whose reclaimable servers drain without an order has none to give for a while. */
@@ -154,6 +186,12 @@
         const val EXPECTED_SHARE = 0.5
         const val SHRINK_MILLIS = 2_000L
 
+        /** Reclaimable servers that are given up may not be had again when the next ones are taken back. */
+        const val RECLAIMABLE_SHRINK_MILLIS = 12_000L
+
+        /** Servers that start with the site have registered themselves when no more have come for this long. */
+        const val SET_UP_MILLIS = 3_000L
+
         /** Time until reclaimable servers are ordered again where none were to be had. */
         const val SHORT_MILLIS = 2_000L
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteView.kt
@@ -20,6 +20,9 @@
     /** Whether the entries of servers were read at least once. */
     val hasServers: Boolean = false,
 ) {
+    /** Whether enough is known to serve requests. */
+    public val isKnown: Boolean get() = config != null && hasServers
+
     /** Servers of [service] that may get new requests. */
     public fun usable(service: ServiceName): List<KnownServer> = servers.values.filter {
         it.entry.service == service && !it.entry.isDraining && it.entry.domain !in outOfService
--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -23,6 +23,8 @@
     val storeAddress: String,
     /** IP number and port; null where no duty is to be done. */
     val cloudAddress: String?,
+    /** Whether the whole site starts for the first time. */
+    val isFirstStart: Boolean,
     val bounds: GatewayBounds,
 ) {
     public companion object {
@@ -70,6 +72,7 @@
         val grace = optional("instance", "grace-seconds", DECIMAL)?.toLong() ?: DEFAULT_GRACE
         val store = required("platform", "store-address", SettingType.dialAddress)
         val cloud = optional("platform", "cloud-address", SettingType.dialAddress)
+        val isFirstStart = optional("platform", "first-start", TRUTH) ?: false
         val bounds = bounds()
         refuseUnknownKeys()
         if (faults.isNotEmpty()) return faults.left()
@@ -83,6 +86,7 @@
             graceSeconds = grace,
             storeAddress = store!!.toString(),
             cloudAddress = cloud?.toString(),
+            isFirstStart = isFirstStart,
             bounds = bounds,
         ).right()
     }
@@ -141,6 +145,7 @@
     private companion object {
         const val MILLIS = 1_000.0
         const val DEFAULT_GRACE = 8L
+        val TRUTH = SettingType("true or false") { it.toBooleanStrictOrNull() }
         val DECIMAL = SettingType("a number of 0 or more") { it.toDoubleOrNull()?.takeIf { n -> n >= 0 } }
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/settings/GatewaySettingsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/settings/GatewaySettingsTest.kt
@@ -19,6 +19,7 @@
                 "metrics-address" to "10.0.0.1:83",
                 "store-address" to "10.0.0.2:80",
                 "cloud-address" to "10.0.0.3:80",
+                "first-start" to "true",
             )
             val filled = template.lines().joinToString("\n") { line ->
                 val key = line.substringBefore(" = ")
@@ -27,6 +28,7 @@
             val settings = read(filled).getOrNull()
             settings?.instance shouldBe "node-1"
             settings?.bounds?.leaseMillis shouldBe 1
+            settings?.isFirstStart shouldBe true
         }
 
         test("bad input: all faults are named at once, with their lines") {
