Count only unread prompt parts as waiting at a server

Cause: the queue of a server was counted with all prompt tokens sent there, also those that its cache holds.

Change: the choice tells how many tokens are to be read, and these are what waits. ServerChoiceTest has the case.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerClient.kt
@@ -8,6 +8,7 @@
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.EventListener
 import okhttp3.HttpUrl.Companion.toHttpUrl
@@ -29,13 +30,18 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
-/** Speaks HTTP/1.1 to backend servers with OkHttp, without its retries, redirects and added headers. */
+/**
+ * Speaks HTTP/1.1 to backend servers with OkHttp, without its retries, redirects and added headers.
+ *
+ * Servers are called in clear text; without TLS the client does not load a trust store at each start.
+ */
 public class HttpServerClient :
     ServerClient,
     AutoCloseable {
     private val pooled = OkHttpClient.Builder()
         .proxy(Proxy.NO_PROXY)
         .socketFactory(ResettingSocketFactory)
+        .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
@@ -96,7 +96,7 @@
                             now,
                         )
                     ) {
-                        return PlaceAnswer.Given(place(server, service, demand, choice, now))
+                        return PlaceAnswer.Given(place(server, service, choice, now))
                     }
                     open = open - server
                 }
@@ -134,20 +134,16 @@
     private fun mayTake(server: KnownServer, service: Service, now: Long): Boolean {
         if (!server.isCold(now)) return true
         val pace = loadOf(server, service).cold ?: return true
+        // Without knowing the others, this instance would take the whole pace for itself, as they would.
+        if (!peers.isComplete) return false
         return pace.tryTake(self, server.entry.id.value, peers.names(), now)
     }
 
-    private fun place(
-        server: KnownServer,
-        service: Service,
-        demand: Demand,
-        choice: Choice.Send,
-        now: Long,
-    ): ServerPlace {
+    private fun place(server: KnownServer, service: Service, choice: Choice.Send, now: Long): ServerPlace {
         val load = loadOf(server, service)
         load.active++
-        load.pendingTokens += demand.promptTokens
-        return ServerPlace(server, choice.expectedMillis, now, demand.promptTokens)
+        load.pendingTokens += choice.readTokens
+        return ServerPlace(server, choice.expectedMillis, now, choice.readTokens)
     }
 
     private fun candidate(server: KnownServer, service: Service, remote: Map<String, LoadPart>): Candidate {
--- a/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/placement/ServerChoice.kt
@@ -9,7 +9,7 @@
     val isLocal: Boolean,
     /** Requests in progress there, from all instances as far as known. */
     val active: Int,
-    /** Prompt tokens sent there whose first event has not come back. */
+    /** Prompt tokens that it has yet to read: of requests sent there whose first event has not come back. */
     val pendingTokens: Long,
     /** Requests that it runs at the same time. */
     val slots: Int,
@@ -35,7 +35,8 @@
 
 /** Where a request goes. */
 public sealed interface Choice {
-    public data class Send(val server: BackendServerId, val expectedMillis: Double) : Choice
+    /** [readTokens] are the prompt tokens to read there, without those that the cache is taken to hold. */
+    public data class Send(val server: BackendServerId, val expectedMillis: Double, val readTokens: Long) : Choice
 
     /** No server can start it in time; the earliest one that could needs [waitMillis]. */
     public data class Full(val waitMillis: Long) : Choice
@@ -68,7 +69,7 @@
                 maxOf(fastest, demand.targetMillis * CALM_SHARE)
         }
         val chosen = inTime.minBy { cost(demand, it, preferred) }
-        return Choice.Send(chosen.id, delayMillis(demand, chosen, preferred))
+        return Choice.Send(chosen.id, delayMillis(demand, chosen, preferred), readTokens(demand, chosen, preferred))
     }
 
     /** The delay, and what the request takes from others: parts that are read again, bytes between domains. */
@@ -79,13 +80,16 @@
     }
 
     private fun delayMillis(demand: Demand, server: Candidate, preferred: List<BackendServerId>): Double {
-        val cached = if (server.id in preferred) demand.sharedTokens else 0
-        val tokens = server.pendingTokens + (demand.promptTokens - cached).coerceAtLeast(0)
-        val reading = tokens / server.tokensPerMilli
+        val reading = (server.pendingTokens + readTokens(demand, server, preferred)) / server.tokensPerMilli
         val sharing = server.active.toDouble() / server.slots * SHARING_MILLIS
         return (reading + sharing) * server.slowness
     }
 
+    private fun readTokens(demand: Demand, server: Candidate, preferred: List<BackendServerId>): Long {
+        val cached = if (server.id in preferred) demand.sharedTokens else 0
+        return (demand.promptTokens - cached).coerceAtLeast(0)
+    }
+
     /** Requests that may be in progress at [server]; urgent ones may use the server's queue. */
     private fun slotLimit(server: Candidate, demand: Demand): Int {
         val queue = if (demand.priority == 0) URGENT_QUEUE_SHARE else QUEUE_SHARE
--- a/policy/src/test/kotlin/org/berylpoint/policy/placement/ServerChoiceTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/placement/ServerChoiceTest.kt
@@ -29,6 +29,15 @@
             sent(ServerChoice.choose(prompt(key = "hot", shared = 5_000), busy)) shouldNotBe preferred
         }
 
+        // Guards against a preferred server whose queue is counted with parts that its cache holds: requests then
+        // leave it and read these parts again elsewhere.
+        test("hot prefix: cached parts do not count as waiting at the preferred server") {
+            val choice = ServerChoice.choose(prompt(tokens = 6_000, key = "hot", shared = 5_000), servers(6))
+            choice.shouldBeInstanceOf<Choice.Send>().readTokens shouldBe 1_000
+            val plain = ServerChoice.choose(prompt(tokens = 6_000), servers(6))
+            plain.shouldBeInstanceOf<Choice.Send>().readTokens shouldBe 6_000
+        }
+
         test("hot prefix: many prefixes spread over all servers") {
             val chosen = (1..200).groupingBy {
                 sent(ServerChoice.choose(prompt(key = "key-$it", shared = 5_000), servers(5)))
