--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -22,7 +22,7 @@
 /** Serves callers' requests: admission, choice of a server, attempts, and the answer. */
 public class RequestFlow(
     private val clocks: Clocks,
-    site: SiteState,
+    private val site: SiteState,
     private val pool: ServerPool,
     private val client: ServerClient,
     private val counts: SharedCounts,
@@ -53,6 +53,7 @@
                 )
                 return
             }
+            awaitFirstView()
             admission.admit(exchange.request, arrived).fold(
                 ifLeft = {
                     refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), it, arrived)
@@ -68,6 +69,11 @@
         }
     }
 
+    /** Right after a start the store's first answers are a moment away; a refusal would cost the caller a retry. */
+    private suspend fun awaitFirstView() {
+        while (!site.view.isKnown && clocks.steady < START_MILLIS) delay(START_CHECK_MILLIS.milliseconds)
+    }
+
     private fun refuse(exchange: CallerExchange, id: String, refusal: Refusal, arrived: Long) {
         val kind = refusal.kind
         log.request(
@@ -301,6 +307,10 @@
         const val MILLIS = 1000.0
         const val NO_ROUTE = "none"
 
+        /** Time from the start of the process in which requests wait for the first configuration. */
+        const val START_MILLIS = 1_000L
+        const val START_CHECK_MILLIS = 10L
+
         /** Connections that one request may break at all instances together. */
         const val MAX_CRASHES = 3
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -47,13 +47,16 @@
     public fun replaceServers(rows: List<StoreRow>) {
         val ids = rows.map { BackendServerId(it.key) }.toSet()
         for (id in view.servers.keys - ids) remove(id)
-        rows.forEach(::serverRow)
+        val isFirst = !view.hasServers
+        for (row in rows) serverRow(row, isLogged = !isFirst)
         view = view.copy(hasServers = true)
+        // One line for all of them: a line each would hold up the first requests after a start.
+        if (isFirst) log.belief("site", "servers are known", "servers" to view.servers.values.map(::described))
     }
 
     /** Takes in changed entries of servers. */
     @Synchronized
-    public fun updateServers(rows: List<StoreRow>): Unit = rows.forEach(::serverRow)
+    public fun updateServers(rows: List<StoreRow>): Unit = rows.forEach { serverRow(it, isLogged = true) }
 
     /** Removes servers whose entries are still missing although the store has been back for a while. */
     @Synchronized
@@ -113,7 +116,7 @@
         }
     }
 
-    private fun serverRow(row: StoreRow) {
+    private fun serverRow(row: StoreRow, isLogged: Boolean) {
         val id = BackendServerId(row.key)
         val known = view.servers[id]
         if (known != null && row.revision < known.revision) return
@@ -131,7 +134,7 @@
             view.copy(
                 servers = (view.servers + (id to KnownServer(entry, clocks.steady, row.revision))).toPersistentMap(),
             )
-        if (known?.entry?.copy(coldRemainingMillis = 0) != entry.copy(coldRemainingMillis = 0)) {
+        if (isLogged && known?.entry?.copy(coldRemainingMillis = 0) != entry.copy(coldRemainingMillis = 0)) {
             log.belief(
                 "site",
                 if (entry.isDraining) "a server drains" else "a server is known",
@@ -142,6 +145,13 @@
         }
     }
 
+    private fun described(server: KnownServer): String = with(server.entry) {
+        "${id.value} ${service.value} ${version.value} $address ${domain.name} revision ${server.revision}" +
+            (if (isDraining) " draining" else "") +
+            (if (coldRemainingMillis > 0) " cold for $coldRemainingMillis ms" else "") +
+            (if (isReclaimable) " reclaimable" else "")
+    }
+
     private fun remove(id: BackendServerId) {
         if (isRecovering()) missing[id] = clocks.steady else drop(id, "its entry was removed")
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
@@ -57,10 +57,12 @@
         RequestFlow(clocks, site, pool, client, counts, log, GatewayMetrics(PrometheusRegistry()), random) { isLeaving }
 
     init {
-        if (isConfigured) site.replaceOperators(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
+        if (isConfigured) configure()
         site.replaceServers((1..servers).map { StoreRow("servers", "s$it", entry("10.0.0.$it:80", slots), it + 1L) })
     }
 
+    fun configure() = site.replaceOperators(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
+
     private inner class Scripted(private val id: BackendServerId, script: List<Step>) : ServerExchange {
         private val left = ArrayDeque(script)
         private var waited = 0L
@@ -94,15 +96,25 @@
             {"name":"chat","host":"h","prefix":"/chat/","kind":"streaming","timeout_ms":10000,"target_latency_ms":300,
              "gap_aim_ms":300,"priority":0,"service":"plain","attempts":1,"public":false,"resumable":false},
             {"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":12000,"target_latency_ms":800,
-             "gap_aim_ms":300,"priority":1,"service":"plain","attempts":2,"public":false,"resumable":true}],
-            "services":[{"name":"plain","health_path":"/health","max_conns":100}],
+             "gap_aim_ms":300,"priority":1,"service":"plain","attempts":2,"public":false,"resumable":true},
+            {"name":"fresh","host":"h","prefix":"/fresh/","kind":"safe","timeout_ms":600,"target_latency_ms":120,
+             "priority":2,"service":"fresh","attempts":2,"public":false}],
+            "services":[{"name":"plain","health_path":"/health","max_conns":100},
+             {"name":"fresh","health_path":"/health","max_conns":100,"cold_start_s":3.0,"cold_per_s":8}],
             "limits":{"max_body_bytes":1000},
             "tenants":[{"name":"w","api_keys":["k"],"unit":"token_stream","plain_tokens":1,
              "rate_per_s":100,"burst":100}]}"""
 
-        fun entry(address: String, slots: Int = 4, state: String = "ready", extra: String = "") = (
-            """{"service":"plain","address":"$address","zone":"a","version":"v1","slots":$slots,"state":"$state",""" +
-                """"cold_remaining_ms":0,"sequence":1,"born":7$extra}"""
+        fun entry(
+            address: String,
+            slots: Int = 4,
+            state: String = "ready",
+            extra: String = "",
+            service: String = "plain",
+            coldMillis: Long = 0,
+        ) = (
+            """{"service":"$service","address":"$address","zone":"a","version":"v1","slots":$slots,"state":"$state",""" +
+                """"cold_remaining_ms":$coldMillis,"sequence":1,"born":7$extra}"""
             ).encodeToByteArray()
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -9,9 +9,11 @@
 import io.kotest.matchers.shouldNotBe
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.berylpoint.platform.store.StoreRow
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -221,6 +223,34 @@
             }
         }
 
+        // Guards against refusals of callers that waited for a restart (mshikamano-book trouble-1, after the power loss).
+        test("restart of all instances: a request that comes before the configuration is served once it is there") {
+            runTest {
+                val scene = FlowScene(this, isConfigured = false)
+                scene.scripts += answered()
+                val caller = RecordingCaller("/look/1")
+                val serving = launch { scene.flow.serve(caller) }
+                delay(200.milliseconds)
+                scene.configure()
+                serving.join()
+                caller.status shouldBe 200
+            }
+        }
+
+        // Guards against many new instances that each take a cold server's whole pace for themselves.
+        test("cold server: an instance that does not know the others yet sends it nothing") {
+            runTest {
+                val scene = FlowScene(this)
+                val cold = FlowScene.entry("10.0.0.9:80", service = "fresh", coldMillis = 60_000)
+                scene.site.updateServers(listOf(StoreRow("servers", "cold", cold, 50)))
+                scene.scripts += answered()
+                RecordingCaller("/fresh/1").also { scene.flow.serve(it) }.status shouldBe 503
+                scene.sent.size shouldBe 0
+                scene.peers.isComplete = true
+                RecordingCaller("/fresh/2").also { scene.flow.serve(it) }.status shouldBe 200
+            }
+        }
+
         test("a request without a route is denied") {
             runTest {
                 val scene = FlowScene(this)
