--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/FlowScene.kt
@@ -113,8 +113,8 @@
             service: String = "plain",
             coldMillis: Long = 0,
         ) = (
-            """{"service":"$service","address":"$address","zone":"a","version":"v1","slots":$slots,"state":"$state",""" +
-                """"cold_remaining_ms":$coldMillis,"sequence":1,"born":7$extra}"""
+            """{"service":"$service","address":"$address","zone":"a","version":"v1","slots":$slots,""" +
+                """"state":"$state","cold_remaining_ms":$coldMillis,"sequence":1,"born":7$extra}"""
             ).encodeToByteArray()
     }
 }
