--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/DecisionLog.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/DecisionLog.kt
@@ -8,8 +8,8 @@
 /**
  * Structured log lines of decisions: one for each that touches a request or changes what the process believes.
  *
- * Failures are always written; successes are thinned to one in [successSample], so that the volume stays bounded under
- * load. The appender behind it is asynchronous and drops lines rather than block.
+ * Failures and late answers are always written; other successes are thinned to one in [successSample], so that the
+ * volume stays bounded under load. The appender behind it is asynchronous and drops lines rather than block.
  */
 public class DecisionLog(private val successSample: Int = SUCCESS_SAMPLE) {
     private val log = LoggerFactory.getLogger("berylpoint.decision")
@@ -20,9 +20,10 @@
         log.info("$part: request $outcome", *arguments(inputs, kv("request", id), kv("outcome", outcome)))
     }
 
-    /** A request that was served; thinned. */
-    public fun served(id: String, vararg inputs: Pair<String, Any?>) {
-        if (successes.incrementAndGet() % successSample == 0L) request("flow", id, "served", *inputs)
+    /** A request that was served; thinned unless it was late. */
+    public fun served(id: String, isLate: Boolean, vararg inputs: Pair<String, Any?>) {
+        val isSampled = successes.incrementAndGet() % successSample == 0L
+        if (isLate) request("flow", id, "served-late", *inputs) else if (isSampled) request("flow", id, "served", *inputs)
     }
 
     /** A change of what the process believes, or of its own state. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -274,15 +274,19 @@
 
         private fun served(place: ServerPlace, end: AttemptEnd.Complete) {
             if (progress.isBegun) exchange.end() else exchange.answer(end.status, end.headers, end.body)
+            val isLate = (progress.firstEventMillis ?: age()) > request.route.targetLatencyMillis
             log.served(
                 request.id,
+                isLate,
                 "server" to place.server.entry.id.value,
+                "revision" to place.server.revision,
                 "route" to request.route.name,
                 "age" to age(),
                 "first" to progress.firstEventMillis,
                 "expected" to place.expectedMillis.toLong(),
                 "sends" to sends,
                 "wait" to place.takenAtMillis - request.arrivedAtMillis,
+                "tokens" to request.tokens?.prompt,
             )
             ended("served")
         }
--- /dev/null
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/DecisionLogTest.kt
@@ -0,0 +1,41 @@
+package org.berylpoint.entry.gateway
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.slf4j.LoggerFactory
+
+class DecisionLogTest :
+    FunSpec({
+        test("answers in time are thinned") {
+            recorded { log -> repeat(100) { log.served("r$it", isLate = false) } }.size shouldBe 10
+        }
+
+        // Guards against late answers of which no line is left when a caller complains.
+        test("late answers are all written") {
+            val lines = recorded { log -> repeat(100) { log.served("r$it", isLate = true, "first" to 900) } }
+            lines.size shouldBe 100
+            lines.first().message shouldBe "flow: request served-late"
+            lines.first().argumentArray.map { it.toString() } shouldBe
+                listOf("request=r0", "outcome=served-late", "first=900")
+        }
+    })
+
+/** The lines that [act] writes to a log that keeps one success in ten. */
+private fun recorded(act: (DecisionLog) -> Unit): List<ILoggingEvent> {
+    val logger = LoggerFactory.getLogger("berylpoint.decision") as Logger
+    val appender = ListAppender<ILoggingEvent>().apply { start() }
+    val level = logger.level
+    logger.level = Level.INFO
+    logger.addAppender(appender)
+    try {
+        act(DecisionLog(successSample = 10))
+    } finally {
+        logger.detachAppender(appender)
+        logger.level = level
+    }
+    return appender.list.toList()
+}
