--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/DecisionLog.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/DecisionLog.kt
@@ -23,7 +23,10 @@
     /** A request that was served; thinned unless it was late. */
     public fun served(id: String, isLate: Boolean, vararg inputs: Pair<String, Any?>) {
         val isSampled = successes.incrementAndGet() % successSample == 0L
-        if (isLate) request("flow", id, "served-late", *inputs) else if (isSampled) request("flow", id, "served", *inputs)
+        when {
+            isLate -> request("flow", id, "served-late", *inputs)
+            isSampled -> request("flow", id, "served", *inputs)
+        }
     }
 
     /** A change of what the process believes, or of its own state. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -69,14 +69,9 @@
     /** Takes in what another instance admitted since its last report. */
     @Synchronized
     public fun remoteAdmitted(report: NodeReport) {
-        for ((name, cost) in report.admitted) {
-            if (cost !=
-                0.0
-            ) {
-                caps.getOrPut(Workspace(name)) {
-                    UsageCap(bounds.capTolerance)
-                }.takeRemote(report.name, cost, clocks.steady)
-            }
+        for ((name, cost) in report.admitted.filterValues { it != 0.0 }) {
+            val cap = caps.getOrPut(Workspace(name)) { UsageCap(bounds.capTolerance) }
+            cap.takeRemote(report.name, cost, clocks.steady)
         }
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
@@ -80,24 +80,12 @@
         while (true) {
             val candidates = open.map { candidate(it, service, remote) }.shuffled(random)
             when (val choice = ServerChoice.choose(demand, candidates)) {
-                is Choice.NoServer -> return if (right.isEmpty()) {
-                    PlaceAnswer.NoServer
-                } else {
-                    PlaceAnswer.Full(
-                        COLD_WAIT_MILLIS,
-                    )
-                }
+                is Choice.NoServer ->
+                    return if (right.isEmpty()) PlaceAnswer.NoServer else PlaceAnswer.Full(COLD_WAIT_MILLIS)
                 is Choice.Full -> return PlaceAnswer.Full(choice.waitMillis)
                 is Choice.Send -> {
                     val server = open.first { it.entry.id == choice.server }
-                    if (mayTake(
-                            server,
-                            service,
-                            now,
-                        )
-                    ) {
-                        return PlaceAnswer.Given(place(server, service, choice, now))
-                    }
+                    if (mayTake(server, service, now)) return PlaceAnswer.Given(place(server, service, choice, now))
                     open = open - server
                 }
             }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -223,7 +223,7 @@
             }
         }
 
-        // Guards against refusals of callers that waited for a restart (mshikamano-book trouble-1, after the power loss).
+        // Guards against refusals of callers that waited for a restart (mshikamano-book trouble-1, the power loss).
         test("restart of all instances: a request that comes before the configuration is served once it is there") {
             runTest {
                 val scene = FlowScene(this, isConfigured = false)
