Tell new processes what the window of a cap holds, and use less of the tolerance

Ruled out: assuming a full part for each new process; after a restart of all it would refuse usual load for a window.

Change: while a process younger than a window is heard, older ones report the window's total, and the new one takes over what it does not know. What a peer admitted before it was heard first no longer counts as its present rate, which refused usual load for a second after each start. 0.05 of the tolerance is used.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -23,9 +23,15 @@
 
     private val caps = HashMap<Workspace, UsageCap>()
 
-    /** Workspaces of whose cap an earlier process of this instance may have used its part. */
-    private val reckoned = HashSet<Workspace>()
+    /** Workspaces of whose cap this new process has assumed that its predecessor used its part. */
+    private val assumed = HashSet<Workspace>()
+
+    /** Workspaces of whose window this new process has taken over the total from an older one. */
+    private val takenOver = HashSet<Workspace>()
     private val admitted = HashMap<String, Double>()
+
+    /** By instance, the start of the process that was heard last. */
+    private val heardProcesses = HashMap<String, Long>()
     private val retries = HashMap<ServiceName, RetryShare>()
     private val usage = UsageWindows(bounds.usageWindowMillis)
     private val crashes = LinkedHashMap<String, Int>()
@@ -36,7 +42,7 @@
     @Synchronized
     public fun admit(policy: WorkspacePolicy, cost: Double): Long? {
         val cap = caps.getOrPut(policy.workspace) { UsageCap(bounds.capTolerance) }
-        if (clocks.steady < bounds.capTolerance.windowMillis && reckoned.add(policy.workspace)) {
+        if (isNewProcess() && assumed.add(policy.workspace) && policy.workspace !in takenOver) {
             cap.assumeEarlierProcess(policy.ratePerSecond, policy.burst, peers.names().size, clocks.steady)
         }
         val share = capShare()
@@ -69,12 +75,28 @@
     /** Takes in what another instance admitted since its last report. */
     @Synchronized
     public fun remoteAdmitted(report: NodeReport) {
+        val isFirst = heardProcesses.put(report.name, report.startedAtMillis) != report.startedAtMillis
         for ((name, cost) in report.admitted.filterValues { it != 0.0 }) {
             val cap = caps.getOrPut(Workspace(name)) { UsageCap(bounds.capTolerance) }
-            cap.takeRemote(report.name, cost, clocks.steady)
+            if (isFirst) {
+                cap.takeEarlier(report.name, cost, clocks.steady)
+            } else {
+                cap.takeRemote(report.name, cost, clocks.steady)
+            }
+        }
+        if (isNewProcess()) takeOver(report.windowTotals)
+    }
+
+    private fun takeOver(totals: Map<String, Double>) {
+        for ((name, total) in totals) {
+            if (!takenOver.add(Workspace(name))) continue
+            caps.getOrPut(Workspace(name)) { UsageCap(bounds.capTolerance) }.takeOver(total, clocks.steady)
         }
     }
 
+    /** Whether this process has not run for a whole window, so that it can't know what was admitted in it. */
+    private fun isNewProcess() = clocks.steady < bounds.capTolerance.windowMillis
+
     /** Counts the first attempt of a request of [service], and what it asks for. */
     @Synchronized
     public fun first(service: ServiceName, promptTokens: Long, outputTokens: Long) {
@@ -127,8 +149,15 @@
         outcomes = outcomes.map { (key, sum) -> VersionPart(key.first.value, key.second.value, sum.good, sum.bad) },
         crashes = crashes.entries.toList().takeLast(REPORTED_FINGERPRINTS).associate { it.key to it.value },
         demands = demands.map { (service, sum) -> DemandPart(service.value, sum.prompt, sum.output, sum.refused) },
+        windowTotals = windowTotals(),
     )
 
+    /** Only new processes of other instances need the totals, and only a process that knows a whole window has them. */
+    private fun windowTotals(): Map<String, Double> {
+        if (isNewProcess() || !peers.hasProcessYoungerThan(bounds.capTolerance.windowMillis)) return emptyMap()
+        return caps.entries.associate { (workspace, cap) -> workspace.name to cap.windowTotal(clocks.steady) }
+    }
+
     private fun retriesOf(service: ServiceName) = retries.getOrPut(service) {
         RetryShare(bounds.retryRatio, bounds.retrySlack, bounds.retryWindowMillis)
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -67,11 +67,18 @@
      * average of one cap window counts; the whole sum would use up every cap at once.
      */
     private fun recentlyAdmitted(report: NodeReport): Map<String, Double> {
-        val age = report.sequence * reportIntervalMillis(peers.size)
+        val age = processAgeMillis(report)
         val part = (RECENT_MILLIS / maxOf(age, 1L).toDouble()).coerceAtMost(1.0)
         return report.admitted.mapValues { (_, sum) -> sum * part }
     }
 
+    /** Age of the process that sent [report], from the number of its reports. */
+    private fun processAgeMillis(report: NodeReport): Long = report.sequence * reportIntervalMillis(peers.size)
+
+    /** Whether an instance that is heard has a process that started less than [millis] ago. */
+    @Synchronized
+    public fun hasProcessYoungerThan(millis: Long): Boolean = fresh.any { processAgeMillis(it) < millis }
+
     /** Drops what has been silent for long, and refreshes the list of live peers. */
     @Synchronized
     public fun expire() {
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -40,6 +40,8 @@
     @CborLabel(16) val revisions: Map<String, Long> = emptyMap(),
     /** Rows that the sender has just read for the instances of its failure domain. */
     @CborLabel(17) val rows: RowsPart? = null,
+    /** What all instances admitted in the last cap window as the sender knows it, by workspace; for new processes. */
+    @CborLabel(18) val windowTotals: Map<String, Double> = emptyMap(),
 )
 
 /** Changes of one table of the store, complete since the row with revision [after]. */
--- a/policy/src/main/kotlin/org/berylpoint/policy/quota/UsageCap.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/quota/UsageCap.kt
@@ -58,6 +58,21 @@
         entry(nowMillis).own += limit(ratePerSecond, burst) * (1.0 / instances).coerceAtMost(MAX_ASSUMED_SHARE)
     }
 
+    /** What all instances admitted in the window, those included that are not heard any more. */
+    public fun windowTotal(nowMillis: Long): Double {
+        expire(nowMillis)
+        return entries.sumOf { it.own + it.remote.values.sum() }
+    }
+
+    /**
+     * Takes over the [total] of the window from an instance that has run for longer. The processes that ended together
+     * with the earlier one of this instance had admitted parts of it, which no report of theirs tells any more.
+     */
+    public fun takeOver(total: Double, nowMillis: Long) {
+        val unknown = total - windowTotal(nowMillis)
+        if (unknown > 0) entry(nowMillis).own += unknown
+    }
+
     /** Counts [cost] of a request that was admitted before and runs once more. */
     public fun takeAgain(cost: Double, nowMillis: Long) {
         expire(nowMillis)
@@ -75,6 +90,17 @@
         entry(nowMillis).remote.merge(peer, cost, Double::plus)
     }
 
+    /**
+     * Takes what [peer] admitted over the window before it was heard for the first time. It does not count as the
+     * peer's present rate, which would take up the cap's room after each start of an instance.
+     */
+    public fun takeEarlier(peer: String, cost: Double, nowMillis: Long) {
+        expire(nowMillis)
+        val atMillis = nowMillis - EARLIER_MILLIS
+        val index = entries.indexOfFirst { it.atMillis > atMillis }.let { if (it < 0) entries.size else it }
+        entries.add(index, Entry(atMillis).apply { remote[peer] = cost })
+    }
+
     /** Milliseconds until the window has room, if nothing else is admitted. */
     public fun waitMillis(ratePerSecond: Double, burst: Double, share: CapShare, nowMillis: Long): Long {
         var excess = entries.sumOf { it.total(share.heard.keys) } + unseen(share.heard, nowMillis) -
@@ -140,12 +166,15 @@
         /** The shorter one shows the start of a flood, the longer one what comes in lumps. */
         val RATE_SPANS_MILLIS = listOf(300L, 1_000L)
 
+        /** Age given to what was admitted at unknown times in the window; longer than the spans of rates. */
+        const val EARLIER_MILLIS = 2_000L
+
         /** Time between the making of a report and its being taken in. */
         const val REPORT_DELAY_MILLIS = 100L
 
         /** Few instances share a cap among them, and one alone has to serve right after its start. */
         const val MAX_ASSUMED_SHARE = 0.25
-        const val USED_TOLERANCE = 0.5
+        const val USED_TOLERANCE = 0.05
         const val MIN_WAIT_MILLIS = 50L
     }
 }
--- a/policy/src/test/kotlin/org/berylpoint/policy/quota/UsageCapTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/quota/UsageCapTest.kt
@@ -33,6 +33,17 @@
             busiest(admitted) shouldBeLessThanOrEqual bound(TIGHT)
         }
 
+        // Guards against new processes that do not know what the others that were killed had admitted (QUOTA on
+        // mshikamano-book, day flood-in-cut seed 700651097178).
+        test("flood while half of the instances are killed: the window's bound holds") {
+            val small = TOLERANCE.copy(slack = 78_000.0)
+            for (atMillis in 8_000L..14_000L step 1_000) {
+                val kill = Kill(5, atMillis)
+                val admitted = flood(9, 250, perSecond = 400_000.0, cost = 2_000.0, tolerance = small, kill = kill)
+                busiest(admitted) shouldBeLessThanOrEqual bound(small)
+            }
+        }
+
         // Guards against refusals below the cap: callers are owed what the cap itself allows.
         test("flood of one workspace: no less than the cap allows is admitted over a long time") {
             val admitted = flood(instances = 9, reportMillis = 250, perSecond = 400_000.0, cost = 2_000.0)
@@ -120,10 +131,12 @@
     cost: Double,
     cut: Cut? = null,
     tolerance: CapTolerance = TOLERANCE,
+    kill: Kill? = null,
 ): List<Pair<Long, Double>> {
     val site = FloodedSite(instances, reportMillis, cost, cut, tolerance)
     var due = 0.0
     for (now in 0L until 30_000L step 10) {
+        if (kill != null && now == kill.atMillis) repeat(kill.instances) { site.restart(it, now) }
         due += perSecond / 100
         while (due >= cost) {
             due -= cost
@@ -137,17 +150,21 @@
 /** The first [instances] are cut off from all others, and from each other, in [times]. */
 private class Cut(val instances: Int, val times: LongRange)
 
+/** The processes of the first [instances] are killed and start again at once. */
+private class Kill(val instances: Int, val atMillis: Long)
+
 /** Instances that report what they admitted every [reportMillis], one after the other. */
 private class FloodedSite(
     private val instances: Int,
     private val reportMillis: Long,
     private val cost: Double,
     private val cut: Cut?,
-    tolerance: CapTolerance,
+    private val tolerance: CapTolerance,
 ) {
     private val random = Random(7)
-    private val caps = List(instances) { UsageCap(tolerance) }
+    private val caps = MutableList(instances) { UsageCap(tolerance) }
     private val admittedBy = DoubleArray(instances)
+    private val isNew = BooleanArray(instances)
 
     /** By receiver and sender: the sum that was reported last, and when. */
     private val reported = List(instances) { DoubleArray(instances) }
@@ -161,6 +178,18 @@
         admitted += now to cost
     }
 
+    /** The new process knows nothing; of peers it counts only what they admitted within the window, as the average. */
+    fun restart(at: Int, now: Long) {
+        caps[at] = UsageCap(tolerance)
+        caps[at].assumeEarlierProcess(RATE, BURST, instances, now)
+        isNew[at] = true
+        admittedBy[at] = 0.0
+        for (other in 0 until instances) {
+            reported[other][at] = 0.0
+            reported[at][other] = admittedBy[other] * (1 - tolerance.windowMillis.toDouble() / now)
+        }
+    }
+
     private fun share(at: Int, now: Long): CapShare {
         val heard = (0 until instances).filter { it != at && now - heardAt[at][it] <= reportMillis * 1.8 }
         return CapShare(heard.associate { "$it" to now - heardAt[at][it] }, (heard.size + 1.0) / instances)
@@ -176,6 +205,10 @@
         for ((other, cap) in caps.withIndex()) {
             if (other == sender || isCut(sender, now) || isCut(other, now)) continue
             cap.takeRemote("$sender", admittedBy[sender] - reported[other][sender], now)
+            if (isNew[other] && !isNew[sender]) {
+                cap.takeOver(caps[sender].windowTotal(now), now)
+                isNew[other] = false
+            }
             reported[other][sender] = admittedBy[sender]
             heardAt[other][sender] = now
         }
