Let the test of first-heard admissions fail without its mechanism

Cause: with 500 of the cap's 900 the test passed with the branch switched off.

Switched off, the test fails (a wait is told); with it, it passes.

--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
@@ -40,7 +40,7 @@
         // Guards against refusals after each start of an instance in a rolling restart.
         test("rolling restart: what peers admitted before they are heard first is not their present rate") {
             val young = Node("young")
-            val admitted = mapOf("w" to 500.0)
+            val admitted = mapOf("w" to 650.0)
             young.hear(NodeReport("old", "a", startedAtMillis = 1, sequence = 32, wallMillis = 0, admitted = admitted))
             young.counts.admit(POLICY, 1.0).shouldBeNull()
         }
