Break the stand-ins' answers off by closing the connection

Cause: the stand-in wrote the head and threw from the handler. Jetty and Javalin end such an answer as complete; the connection broke only because the crash also stops the listener, in another task.

Ruled out: the client repeating the call (retryOnConnectionFailure is off), the fake server's order of events (Broken is queued before the job is cancelled).

Change: the connection is closed before the handler throws, by the function that the callers' server already used for the same purpose, now shared. A new test breaks a stream off while the listener stays up; it failed before the change (no exception).

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/ServletExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/ServletExchange.kt
@@ -2,7 +2,6 @@
 
 import jakarta.servlet.http.HttpServletRequest
 import jakarta.servlet.http.HttpServletResponse
-import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.util.BufferUtil
 import java.io.IOException
@@ -14,8 +13,7 @@
     private val response: HttpServletResponse,
     private val mustClose: () -> Boolean,
 ) : CallerExchange {
-    private val connection: EndPoint =
-        ServletContextRequest.getServletContextRequest(servletRequest).connectionMetaData.connection.endPoint
+    private val connection: EndPoint = servletRequest.connection()
     private val probe = BufferUtil.allocate(1)
     private var isGone = false
 
--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/BackendHttpServer.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/BackendHttpServer.kt
@@ -17,7 +17,9 @@
 import kotlinx.serialization.json.Json
 import org.berylpoint.entry.backend.BackendCall
 import org.berylpoint.entry.backend.BackendEvent
+import org.berylpoint.entry.gateway.caller.connection
 import org.berylpoint.model.RequestId
+import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -154,9 +156,10 @@
             BackendEvent.End -> Unit
 
             is BackendEvent.Broken -> {
-                // Sends the head first, for an exception before it would become a status of 500.
+                // Sends what was written, for the caller of a real server has it before the connection breaks.
                 response.flushBuffer()
-                error(event.detail)
+                ctx.req().connection().close()
+                throw IOException(event.detail)
             }
         }
         if (isStream) response.outputStream.flush()
--- a/testkit/src/test/kotlin/org/berylpoint/testkit/standin/BackendHttpServerTest.kt
+++ b/testkit/src/test/kotlin/org/berylpoint/testkit/standin/BackendHttpServerTest.kt
@@ -1,5 +1,6 @@
 package org.berylpoint.testkit.standin
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.shouldBe
@@ -55,6 +56,16 @@
             }
         }
 
+        // Guards against a handler's exception ending the answer as complete while the listener stays up.
+        test("a stream that breaks off ends its connection while the server stays up") {
+            engine().use { engine ->
+                post(engine.controlPort, "/control/fault", """{"type":"break-off"}""").first shouldBe 200
+                val body = FakeText.request("chat", "c7", "why", 5)
+                shouldThrow<IOException> { post(engine.port, FakeModelEngine.CHAT_PATH, body) }
+                get(engine.port, "/health").first shouldBe 200
+            }
+        }
+
         test("a body that crashes the server breaks the connection and closes the port until a restart") {
             engine().use { engine ->
                 val port = engine.port
