--- a/entry/src/main/kotlin/org/berylpoint/entry/log/LogConfigurator.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/log/LogConfigurator.kt
@@ -9,6 +9,8 @@
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.spi.ContextAwareBase
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
 
 /**
  * Sets logging up where no file of logback's own does: JSON lines to standard output, from a queue that drops lines
@@ -33,7 +35,7 @@
         queue.isNeverBlock = true
         queue.addAppender(output)
         queue.start()
-        val root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)
+        val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
         root.level = Level.toLevel(System.getenv(LEVEL_VARIABLE), Level.INFO)
         root.addAppender(queue)
         for (name in VERBOSE) context.getLogger(name).level = Level.WARN
@@ -47,6 +49,11 @@
         private const val LEVEL_VARIABLE = "BERYLPOINT_LOG_LEVEL"
         private const val QUEUED_LINES = 2_048
 
+        /** Writes out what is still queued; call it before the runtime is halted. */
+        public fun flush() {
+            (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+        }
+
         /** Libraries that write a line for each connection or request. */
         private val VERBOSE = listOf("org.eclipse.jetty", "io.javalin")
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.entry.gateway.GatewayProcess
 import org.berylpoint.entry.gateway.WarmUp
+import org.berylpoint.entry.log.LogConfigurator
 import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.entry.settings.NodeSettings
 import sun.misc.Signal
@@ -82,6 +83,7 @@
         process.start()
         stopped.await()
         process.stop()
+        LogConfigurator.flush()
         Runtime.getRuntime().halt(0)
     }
 }
