Flush the log when the run command ends, and explain the estimates of caps

Cause: lines of libraries go through a queue now, so the last ones of `berylpoint run` would be lost at exit. The rest is comments and layout, from a reading of the diff.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
@@ -102,10 +102,9 @@
 
     /** Outcomes of the new version (true) and of all others (false). */
     private fun counts(order: RolloutOrder): Map<Boolean, VersionCounts> {
-        val parts = peers.allReports(ownReport()).flatMap { it.outcomes }.filter {
-            it.service ==
-                order.service.value
-        }
+        val parts = peers.allReports(ownReport())
+            .flatMap { it.outcomes }
+            .filter { it.service == order.service.value }
         return listOf(true, false).associateWith { isNew ->
             val its = parts.filter { (it.version == order.to.value) == isNew }
             VersionCounts(its.sumOf { it.good }, its.sumOf { it.bad })
--- a/entry/src/main/kotlin/org/berylpoint/entry/log/LogConfigurator.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/log/LogConfigurator.kt
@@ -16,7 +16,8 @@
  * Sets logging up where no file of logback's own does: JSON lines to standard output, from a queue that drops lines
  * rather than hold up a request. The environment variable `BERYLPOINT_LOG_LEVEL` sets the level.
  *
- * Reading a file in XML would take a third of the time that a process needs to start.
+ * Its rank is below that of logback's own files, which tests use. The set-up is code since parsing a file in XML is a
+ * large part of a start, in which callers wait.
  */
 @ConfiguratorRank(ConfiguratorRank.NOMINAL)
 public class LogConfigurator :
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -53,6 +53,7 @@
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 runBlocking { process.stop() }
+                LogConfigurator.flush()
                 stopped.countDown()
             },
         )
--- a/policy/src/main/kotlin/org/berylpoint/policy/quota/UsageCap.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/quota/UsageCap.kt
@@ -137,12 +137,14 @@
     private fun unseen(heard: Map<String, Long>, nowMillis: Long): Double =
         maxOf(unseenByRate(heard, nowMillis), unseenByLikeness(heard, nowMillis))
 
+    /** Counts this instance's admissions since the oldest of the newest reports, for each instance of [heard]. */
     private fun unseenByLikeness(heard: Map<String, Long>, nowMillis: Long): Double {
         val longest = heard.values.maxOrNull() ?: return 0.0
         val own = entries.sumOf { if (nowMillis - it.atMillis <= longest + REPORT_DELAY_MILLIS) it.own else 0.0 }
         return own.coerceAtLeast(0.0) * heard.size * LIKENESS
     }
 
+    /** Extends the rate of each instance of [heard] over the age of its newest report. */
     private fun unseenByRate(heard: Map<String, Long>, nowMillis: Long): Double {
         val rates = HashMap<String, Double>()
         for (span in RATE_SPANS_MILLIS) {
@@ -202,10 +204,13 @@
 
         /** Share of a cap that instances may admit together without knowing of each other. */
         const val MISSED_SHARE = 0.2
+
+        /** Share of the tolerance that is used at most; a kill of half of the instances may take up the rest. */
         const val MAX_USED_TOLERANCE = 0.4
 
         /** What another instance is taken to have admitted lately, as a share of what this one did; loads differ. */
         const val LIKENESS = 0.5
+
         const val MIN_WAIT_MILLIS = 50L
     }
 }
