Leave logging to logback-test.xml where there is one

The comment on the rank said otherwise.

Change: the configurator steps aside for a logback-test.xml on the class path. Processes have no such file, so their output is as before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/log/LogConfigurator.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/log/LogConfigurator.kt
@@ -5,7 +5,6 @@
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.spi.Configurator
 import ch.qos.logback.classic.spi.Configurator.ExecutionStatus
-import ch.qos.logback.classic.spi.ConfiguratorRank
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.spi.ContextAwareBase
@@ -13,17 +12,17 @@
 import org.slf4j.LoggerFactory
 
 /**
- * Sets logging up where no file of logback's own does: JSON lines to standard output, from a queue that drops lines
- * rather than hold up a request. The environment variable `BERYLPOINT_LOG_LEVEL` sets the level.
+ * Sets logging up: JSON lines to standard output, from a queue that drops lines rather than hold up a request. The
+ * environment variable `BERYLPOINT_LOG_LEVEL` sets the level. Where the class path has a `logback-test.xml`, that file
+ * sets logging up instead.
  *
- * Its rank is below that of logback's own files, which tests use. The set-up is code since parsing a file in XML is a
- * large part of a start, in which callers wait.
+ * The set-up is code since parsing a file in XML is a large part of a start, in which callers wait.
  */
-@ConfiguratorRank(ConfiguratorRank.NOMINAL)
 public class LogConfigurator :
     ContextAwareBase(),
     Configurator {
     override fun configure(context: LoggerContext): ExecutionStatus {
+        if (javaClass.classLoader.getResource(TEST_FILE) != null) return ExecutionStatus.INVOKE_NEXT_IF_ANY
         val output = ConsoleAppender<ILoggingEvent>()
         output.context = context
         output.encoder = JsonLineEncoder().apply { start() }
@@ -47,6 +46,7 @@
     public companion object {
         /** The logger of decisions, which are written at any level of the others. */
         public const val DECISIONS: String = "berylpoint.decision"
+        private const val TEST_FILE = "logback-test.xml"
         private const val LEVEL_VARIABLE = "BERYLPOINT_LOG_LEVEL"
         private const val QUEUED_LINES = 2_048
 
