Close a killed stand-in's connections before its listener stops

Change: the stand-in keeps the connections of its calls and closes them before it stops the listener.

--- a/testkit/src/main/kotlin/org/berylpoint/testkit/standin/BackendHttpServer.kt
+++ b/testkit/src/main/kotlin/org/berylpoint/testkit/standin/BackendHttpServer.kt
@@ -19,7 +19,9 @@
 import org.berylpoint.entry.backend.BackendEvent
 import org.berylpoint.entry.gateway.caller.connection
 import org.berylpoint.model.RequestId
+import org.eclipse.jetty.io.EndPoint
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -43,6 +45,9 @@
     /** The journal; its times are in milliseconds since the epoch, so that journals of processes can be merged. */
     public val journal: Journal = Journal { System.currentTimeMillis() }
 
+    /** Connections of the calls in progress. */
+    private val connections: MutableSet<EndPoint> = ConcurrentHashMap.newKeySet()
+
     private var listener: Javalin? = null
     private var control: Javalin? = null
 
@@ -106,6 +111,8 @@
 
     @Synchronized
     private fun stopListener() {
+        // Closed first, since a server that stops ends the answers in progress as if they were complete.
+        connections.forEach { it.close() }
         listener?.stop()
         listener = null
     }
@@ -127,6 +134,8 @@
 
     private suspend fun relay(call: BackendCall, ctx: Context) {
         val connection = core.connect(call)
+        val endPoint = ctx.req().connection()
+        connections += endPoint
         try {
             var isStream = false
             for (event in connection.incoming) {
@@ -135,6 +144,7 @@
                 withContext(Dispatchers.IO) { write(ctx, event, isStream) }
             }
         } finally {
+            connections -= endPoint
             connection.disconnect(core)
         }
     }
