Send requests to servers with a client whose every byte is checked

A plain body, and an event without a newline, grew without a bound.

Change: one thread with a selector for all connections; a strict parser whose lines are bounded; a response must carry the request's id, or be the first one of its connection; a connection is used again only after a whole, delimited, identified response to a whole request with nothing behind it; response bytes share 16 MiB, of which one may hold what is left for all others; a stream that its caller does not read is not read either. Targets that OkHttp would have normalised are now sent as they are instead of being refused, so the test of the refusal is replaced by tests that each such target arrives byte for byte, and that targets which would end the request line are refused.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayMetrics.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayMetrics.kt
@@ -24,6 +24,11 @@
         .help("Attempts at servers that failed, by the way they ended.")
         .labelNames("end")
         .register(registry)
+    private val responseFaults = Counter.builder()
+        .name("berylpoint_server_response_faults_total")
+        .help("Bytes of servers that were no valid response, by what was wrong; the connection was closed.")
+        .labelNames("fault")
+        .register(registry)
     private val dutyCalls = Counter.builder()
         .name("berylpoint_duty_calls_total")
         .help("Calls of duties to the cloud, by duty and outcome.")
@@ -41,6 +46,11 @@
         attemptFailures.labelValues(end).inc()
     }
 
+    /** Counts bytes of a server that were no valid response; [fault] is what was wrong. */
+    public fun responseFault(fault: String) {
+        responseFaults.labelValues(fault).inc()
+    }
+
     /** Counts a call of a duty to the cloud. */
     public fun dutyCallEnded(duty: String, outcome: String) {
         dutyCalls.labelValues(duty, outcome).inc()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -59,7 +59,10 @@
     private val peers = PeerView(settings.instance, clocks, log)
     private val counts = SharedCounts(clocks, peers, settings.bounds)
     private val rollouts = RolloutDuty(store, site, peers, clocks, log, random, ::ownReport)
-    private val client = HttpServerClient()
+    private val client = HttpServerClient { address, fault ->
+        metrics.responseFault(fault.label)
+        log.event("server", "bytes that are no valid response", "address" to address, "fault" to fault.label)
+    }
     private val pool = ServerPool(settings.instance, settings.failureDomain, clocks, site, peers, rollouts, random)
     private val flow = RequestFlow(clocks, site, pool, client, counts, log, metrics, random) { refusesRequests }
     private val leaseManager = DutyLeaseManager(
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
@@ -68,7 +68,7 @@
         }
     }
 
-    private fun isForwardable(caller: CallerRequest): Boolean = HttpServerClient.sendsUnchanged(caller.target) &&
+    private fun isForwardable(caller: CallerRequest): Boolean = HttpServerClient.isSendable(caller.target) &&
         (caller.method !in METHODS_WITHOUT_BODY || caller.body.isEmpty())
 
     private fun timeoutMillis(caller: CallerRequest, route: Route): Long {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.model.BackendServerId
@@ -17,7 +18,7 @@
 
 class HttpServerClientTest :
     FunSpec({
-        test("a request is sent with the caller's target and without OkHttp's default headers") {
+        test("a request is sent with the caller's target and without headers of the client's own") {
             RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").use { server ->
                 collect(server, request("/a%2Fb/c?x=1&y"))
                 server.requests[0] shouldContain "POST /a%2Fb/c?x=1&y HTTP/1.1\r\n"
@@ -26,7 +27,7 @@
             }
         }
 
-        // Guards against OkHttp's built-in resending after these statuses, which would run a request twice.
+        // Guards against a client that resends after these statuses, which would run a request twice.
         for (status in listOf(
             "503 Service Unavailable\r\nRetry-After: 0",
             "408 Request Timeout",
@@ -77,10 +78,20 @@
             }
         }
 
-        test("targets that OkHttp would normalise are detected") {
-            HttpServerClient.sendsUnchanged("/a/b?x=%20&y") shouldBe true
-            HttpServerClient.sendsUnchanged("/a/../b") shouldBe false
-            HttpServerClient.sendsUnchanged("/a|b") shouldBe false
+        for (target in listOf("/a/b?x=%20&y", "/a/../b", "/a|b", "//a/./b?", "/a%2e%2E/%zz")) {
+            test("the target $target is sent unchanged") {
+                RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").use { server ->
+                    collect(server, request(target))
+                    server.requests[0] shouldStartWith "POST $target HTTP/1.1\r\n"
+                    HttpServerClient.isSendable(target) shouldBe true
+                }
+            }
+        }
+
+        test("targets that would end the request line or change on the way are detected") {
+            for (target in listOf("/a b", "/a\r\nX: y", "/a\u0000", "/a\u00e9", "", "a", "http://h/a", "*")) {
+                HttpServerClient.isSendable(target) shouldBe false
+            }
         }
     })
 
