Move stalled streams, keep slow ones, and don't blame sound requests for crashes

Cause: a stream was given up after four silent gaps even if it could not run anywhere else, so a slow but sound one was cut; comments and repeated events counted as progress, so a stalled one went on until its deadline. Lost connections were counted by fingerprint for good: a popular lookup was refused for the rest of a process's life after three server crashes.

Change: an attempt ends for silence only when a further one was taken out of the retry budget; only new events are progress; a request that a server completed here is not counted as a crashing one.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
@@ -44,11 +44,12 @@
         get() = ((workspace?.priority ?: 0) * WORKSPACE_PRIORITY_WEIGHT + route.priority).coerceIn(0, LOWEST_PRIORITY)
 
     /** Hash of path, workspace and body. Requests that a server can't tell apart have the same one. */
-    val fingerprint: String
-        get() = "%08x%08x".format(
+    val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) {
+        "%08x%08x".format(
             caller.path.hashCode() * HASH_FACTOR + (workspace?.workspace?.name.hashCode()),
             caller.body.contentHashCode(),
         )
+    }
 
     private companion object {
         const val WORKSPACE_PRIORITY_WEIGHT = 3
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -143,7 +143,7 @@
                 request.toServerRequest(reservation, remainingMillis(), progress),
             )
             triedServers += reservation.server.entry.id
-            val attempt = ServerAttempt(exchange, request, reservation, serverExchange, progress, clocks)
+            val attempt = ServerAttempt(exchange, request, reservation, serverExchange, progress, clocks, ::tryMove)
             val end = try {
                 attempt.run { onStarted(reservation) }
             } catch (e: IOException) {
@@ -175,6 +175,7 @@
                     if (end.isConnectionLost) counts.countCrash(request.fingerprint)
                     retryOrFail()
                 }
+                is AttemptEnd.Stalled -> true
                 is AttemptEnd.Error -> if (mayRetryRun()) true else forwardError(end)
                 is AttemptEnd.NotRun -> resendOrRefuse(end)
                 is AttemptEnd.TimedOut -> {
@@ -183,6 +184,7 @@
                 }
                 is AttemptEnd.CallerDisconnected -> throw IOException("the caller disconnected")
                 is AttemptEnd.Complete -> {
+                    counts.countCompleted(request.fingerprint)
                     served(reservation, end)
                     false
                 }
@@ -216,7 +218,13 @@
             return false
         }
 
-        private fun mayRetryRun(): Boolean = request.route.isIdempotent &&
+        private fun mayRetryRun(): Boolean = mayRunAfter(runs)
+
+        /** Like [mayRetryRun], while an attempt is in progress. */
+        private fun tryMove(): Boolean = mayRunAfter(runs + 1)
+
+        /** Takes one attempt out of the retry budget if the request may run again after [runs] runs. */
+        private fun mayRunAfter(runs: Int): Boolean = request.route.isIdempotent &&
             runs < request.route.maxAttempts &&
             !progress.lastEventHasNoId &&
             remainingMillis() > MIN_REMAINING_MILLIS &&
@@ -321,7 +329,7 @@
 
     private fun signalOf(end: AttemptEnd): AttemptSignal? = when (end) {
         is AttemptEnd.Complete -> AttemptSignal.GOOD
-        is AttemptEnd.Error, is AttemptEnd.Interrupted -> AttemptSignal.FAILED
+        is AttemptEnd.Error, is AttemptEnd.Interrupted, is AttemptEnd.Stalled -> AttemptSignal.FAILED
         is AttemptEnd.NotRun -> if (end.reachedServer) AttemptSignal.REFUSED else AttemptSignal.UNREACHABLE
         is AttemptEnd.TimedOut -> AttemptSignal.FAILED.takeIf { end.hadNotStarted }
         is AttemptEnd.CallerDisconnected -> null
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -56,6 +56,13 @@
         override fun toString() = "broken: $cause"
     }
 
+    /** The server made no progress for too long. A further attempt was already taken out of the retry budget. */
+    class Stalled(val cause: String) : AttemptEnd {
+        override val metricLabel get() = "Broke"
+
+        override fun toString() = "broken: $cause"
+    }
+
     /** The caller's deadline or the route's timeout passed; [hadNotStarted] if no server had shown that it ran. */
     class TimedOut(val hadNotStarted: Boolean) : AttemptEnd {
         override val metricLabel get() = "TimedOut"
@@ -78,10 +85,12 @@
     private val serverExchange: ServerExchange,
     private val progress: ResponseProgress,
     private val clocks: Clocks,
+    /** Takes a further attempt out of the retry budget; false if there can't be one. */
+    private val tryMove: () -> Boolean,
 ) {
     private var head: ServerEvent.Head? = null
     private var body = ByteArray(0)
-    private var lastEventAtMillis = clocks.steadyMillis
+    private var lastProgressAtMillis = clocks.steadyMillis
     private var hasStarted = false
     private var hasPartialEvent = false
 
@@ -90,8 +99,8 @@
         while (true) {
             val now = clocks.steadyMillis
             if (now >= request.deadlineMillis) return cancelWith(AttemptEnd.TimedOut(!hasStarted))
-            if (isSilent(now)) {
-                return cancelWith(AttemptEnd.Interrupted(false, "silent for ${now - lastEventAtMillis} ms"))
+            if (isStalled(now) && tryMove()) {
+                return cancelWith(AttemptEnd.Stalled("silent for ${now - lastProgressAtMillis} ms"))
             }
             val timeout = minOf(DISCONNECT_POLL_MILLIS, request.deadlineMillis - now)
             val event = serverExchange.next(timeout.milliseconds)
@@ -99,7 +108,6 @@
                 if (exchange.isDisconnected()) return cancelWith(AttemptEnd.CallerDisconnected)
                 continue
             }
-            lastEventAtMillis = clocks.steadyMillis
             handle(event, onStarted)?.let { return it }
         }
     }
@@ -108,6 +116,7 @@
         when (event) {
             is ServerEvent.Head -> {
                 head = event
+                recordProgress()
                 if (!event.isNotRun && !isEventStream(event)) markStarted(onStarted)
             }
             is ServerEvent.Data -> handleData(event, onStarted)
@@ -123,6 +132,7 @@
             body = event.bytes
             return
         }
+        if (event.bytes.isComment()) return forwardComment(event)
         markStarted(onStarted)
         if (!event.bytes.isCompleteEvent()) {
             // The server stopped within an event. It is not forwarded, so that another server can send it complete.
@@ -130,6 +140,7 @@
             return
         }
         if (isDuplicate(event)) return
+        recordProgress()
         if (!progress.isResponseStarted) {
             progress.isResponseStarted = true
             exchange.startResponse(head.status, head.headers)
@@ -139,6 +150,15 @@
         progress.lastEventHasNoId = event.eventId == null
     }
 
+    /** Forwards a comment within the stream. It carries no part of the response, so it is no progress. */
+    private fun forwardComment(event: ServerEvent.Data) {
+        if (progress.isResponseStarted) exchange.write(event.bytes)
+    }
+
+    private fun recordProgress() {
+        lastProgressAtMillis = clocks.steadyMillis
+    }
+
     /** Whether an earlier attempt already sent this event to the caller. */
     private fun isDuplicate(event: ServerEvent.Data): Boolean {
         val last = progress.lastEventId ?: return false
@@ -172,12 +192,11 @@
     }
 
     /**
-     * Whether to cancel the attempt because the server has sent nothing for too long. Only a request that may run again
-     * is cancelled, so that another server can complete it in time.
+     * Whether the server has made no progress for so long that another one should complete the request. Without
+     * another attempt the request goes on here until its deadline: a slow response is better than none.
      */
-    private fun isSilent(now: Long): Boolean {
-        if (!request.route.isIdempotent) return false
-        val silence = now - lastEventAtMillis
+    private fun isStalled(now: Long): Boolean {
+        val silence = now - lastProgressAtMillis
         if (hasStarted && request.isStream) {
             val targetGapMillis = maxOf(request.route.targetEventGapMillis, MIN_TARGET_EVENT_GAP_MILLIS)
             return silence > MAX_SILENT_EVENT_GAPS * targetGapMillis
@@ -215,6 +234,11 @@
     this[size - 1] == LINE_FEED &&
     (this[size - 2] == LINE_FEED || (size >= 3 && this[size - 2] == CARRIAGE_RETURN && this[size - 3] == LINE_FEED))
 
+/** Whether all lines are comments, which some servers send to keep a connection alive. */
+private fun ByteArray.isComment(): Boolean = isNotEmpty() && this[0] == COLON &&
+    decodeToString().lines().all { it.isEmpty() || it.startsWith(':') }
+
+private const val COLON = ':'.code.toByte()
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -38,6 +38,9 @@
     private val retries = HashMap<ServiceName, SharedRetryBudget>()
     private val usage = UsageWindows(bounds.usageWindowMillis)
     private val crashes = LinkedHashMap<String, Int>()
+
+    /** Fingerprints of requests that servers completed; such a request is not what a lost connection is due to. */
+    private val completed = LinkedHashSet<String>()
     private val demands = HashMap<ServiceName, DemandSum>()
     private val outcomes = HashMap<Pair<ServiceName, VersionName>, OutcomeSum>()
 
@@ -145,14 +148,29 @@
     /** Counts a connection to a server that was lost during the request with [fingerprint]. */
     @Synchronized
     public fun countCrash(fingerprint: String) {
+        if (fingerprint in completed) return
         crashes.merge(fingerprint, 1, Int::plus)
         if (crashes.size > MAX_CRASH_FINGERPRINTS) crashes.remove(crashes.keys.first())
     }
 
-    /** Number of server connections lost during requests with [fingerprint], over all instances. */
+    /** Records that a server completed a request with [fingerprint]. */
     @Synchronized
-    public fun crashCount(fingerprint: String): Int =
-        (crashes[fingerprint] ?: 0) + peers.liveReports.sumOf { it.crashes[fingerprint] ?: 0 }
+    public fun countCompleted(fingerprint: String) {
+        crashes.remove(fingerprint)
+        completed.remove(fingerprint)
+        completed.add(fingerprint)
+        if (completed.size > MAX_CRASH_FINGERPRINTS) completed.remove(completed.first())
+    }
+
+    /**
+     * Number of server connections lost during requests with [fingerprint], over all instances; 0 if a server completed
+     * such a request here.
+     */
+    @Synchronized
+    public fun crashCount(fingerprint: String): Int {
+        if (fingerprint in completed) return 0
+        return (crashes[fingerprint] ?: 0) + peers.liveReports.sumOf { it.crashes[fingerprint] ?: 0 }
+    }
 
     /** Returns [report] with the counters of this process. */
     @Synchronized
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -298,6 +298,54 @@
             }
         }
 
+        // Guards against a popular request that is refused for good after some servers crashed during it.
+        test("a request that servers completed before is still sent after lost server connections") {
+            runTest {
+                val fixture = RequestFlowFixture(this)
+                fixture.scripts += listOf(okResponse()) + List(6) { listOf(failed()) } + listOf(okResponse())
+                val statuses = (1..5).map { RecordingCaller("/look/1", "GET").also { fixture.flow.serve(it) }.status }
+                statuses shouldBe listOf(200, 502, 502, 502, 200)
+            }
+        }
+
+        // Guards against slow but sound streams that are cut.
+        test("a slow stream that can't move to another server goes on until its deadline") {
+            runTest {
+                val fixture = RequestFlowFixture(this)
+                val slowEvents = (2L..5L).map { event(it, after = 1_900) }
+                fixture.scripts += listOf(listOf(head(200), event(1), failed()))
+                fixture.scripts += listOf(listOf(head(200)) + slowEvents + end())
+                val caller = RecordingCaller("/draft/1").also { fixture.flow.serve(it) }
+                caller.isComplete shouldBe true
+                fixture.sent.size shouldBe 2
+            }
+        }
+
+        // Guards against stalled streams that never end because the server sends something now and then.
+        for ((name, filler) in mapOf("comments" to data(":\n\n", after = 500), "old events" to event(1, after = 500))) {
+            test("a stream that brings only $name moves to another server") {
+                runTest {
+                    val fixture = RequestFlowFixture(this)
+                    fixture.scripts += listOf(listOf(head(200), event(1)) + List(20) { filler })
+                    fixture.scripts += listOf(listOf(head(200), event(2), end()))
+                    val caller = RecordingCaller("/draft/1").also { fixture.flow.serve(it) }
+                    caller.isComplete shouldBe true
+                    caller.body.lines().filter { it.startsWith("id") } shouldBe listOf("id: 1", "id: 2")
+                    (currentTime < 3_000) shouldBe true
+                }
+            }
+        }
+
+        test("a stream that can't move and makes no progress ends at its deadline") {
+            runTest {
+                val fixture = RequestFlowFixture(this)
+                fixture.scripts += listOf(listOf(head(200), event(1)) + List(100) { data(":\n\n", after = 500) })
+                val caller = RecordingCaller("/chat/1").also { fixture.flow.serve(it) }
+                caller.isAborted shouldBe true
+                currentTime shouldBe 10_000
+            }
+        }
+
         test("a draining server gets no new requests, and a request without any server is refused") {
             runTest {
                 val fixture = RequestFlowFixture(this, servers = 2)
