End a planned stop only after the last accepted request is answered

Cause: stop() looked at the requests that the flow had counted. A request whose head was read a moment before, or that came while the process ended, was cut off. It also waited 3 s when the grace period was shorter.

Change: requests count from their head; connections are not accepted any more before the end, and the process ends 0.15 s after the last request.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -131,21 +131,42 @@
     /**
      * Reports the instance as not ready, serves requests for the time that the load balancer takes to react, refuses
      * them after that, and returns when none is in progress or the grace period is about to end.
+     *
+     * Callers may go on sending until the end. So the instance first stops to accept connections and then waits until
+     * no request has come for [QUIET_TIME]: one that was just accepted is still answered.
      */
     public fun stop() {
         isStopping = true
         log.event("process", "the instance stops", "inFlight" to flow.inFlight)
         val deadline = clocks.steadyMillis + settings.graceSeconds * MILLIS_PER_SECOND - STOP_MARGIN_MILLIS
-        val refuseAt = clocks.steadyMillis + BALANCER_DELAY_MILLIS
         runBlocking {
-            while (clocks.steadyMillis < refuseAt) delay(STOP_CHECK_INTERVAL)
+            delay(minOf(BALANCER_DELAY_MILLIS, deadline - clocks.steadyMillis).milliseconds)
             refusesRequests = true
-            while (clocks.steadyMillis < deadline && flow.inFlight > 0) delay(STOP_CHECK_INTERVAL)
+            awaitQuiet(deadline - LAST_REQUESTS_MILLIS)
+            front.stopAccepting()
+            awaitQuiet(deadline)
         }
         log.event("process", "the instance has stopped", "inFlight" to flow.inFlight)
         scope.cancel()
     }
 
+    /** Cuts all connections, as the end of the process does. */
+    internal fun close() {
+        front.close()
+        client.close()
+        http.close()
+    }
+
+    /** Waits until no request has been in progress for [QUIET_TIME], at most until [deadline] on the steady clock. */
+    private suspend fun awaitQuiet(deadline: Long) {
+        var quietSince = clocks.steadyMillis
+        while (clocks.steadyMillis < deadline) {
+            if (front.activeRequests > 0) quietSince = clocks.steadyMillis
+            if (clocks.steadyMillis - quietSince >= QUIET_TIME.inWholeMilliseconds) return
+            delay(STOP_CHECK_INTERVAL)
+        }
+    }
+
     /** Reads the settings again and logs whether they changed; changes take effect at the next start. */
     public fun reload(file: java.io.File) {
         GatewaySettings.read(file).fold(
@@ -244,7 +265,11 @@
         /** Time that the load balancer takes to stop sending new connections. */
         const val BALANCER_DELAY_MILLIS = 3_000L
         const val STOP_MARGIN_MILLIS = 400L
-        val STOP_CHECK_INTERVAL = 50.milliseconds
+
+        /** Time before the end of the grace period at which new connections are not accepted any more. */
+        const val LAST_REQUESTS_MILLIS = 1_000L
+        val STOP_CHECK_INTERVAL = 20.milliseconds
+        val QUIET_TIME = 150.milliseconds
         val DUTY_INTERVAL = 500.milliseconds
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/GatewayHttpServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/GatewayHttpServer.kt
@@ -19,6 +19,7 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.channels.ServerSocketChannel
+import java.util.concurrent.atomic.AtomicInteger
 
 private val logger = KotlinLogging.logger {}
 
@@ -48,6 +49,10 @@
     private val handlers: GatewayHttpHandlers,
 ) : AutoCloseable {
     private val connectors = mutableListOf<ServerConnector>()
+    private val activeCount = AtomicInteger()
+
+    /** Callers' requests whose head was read and whose response is not complete. */
+    public val activeRequests: Int get() = activeCount.get()
     private val javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
         config.http.compressionStrategy = CompressionStrategy.NONE
@@ -67,6 +72,11 @@
         javalin.start()
     }
 
+    /** Takes no new connections from callers any more; the open ones are served on. */
+    public fun stopAccepting() {
+        connectors.firstOrNull()?.close()
+    }
+
     /** Sets the idle timeout of callers' connections, to which a margin is added. */
     public fun setIdleTimeout(millis: Long) {
         // The timeout also runs while a request is in progress, when nothing is sent until the response is ready.
@@ -94,7 +104,14 @@
 
     private fun handle(context: Context) {
         when (context.req().localPort) {
-            settings.callerAddress.port -> serve(context)
+            settings.callerAddress.port -> {
+                activeCount.incrementAndGet()
+                try {
+                    serve(context)
+                } finally {
+                    activeCount.decrementAndGet()
+                }
+            }
             settings.readyAddress.port -> context.status(if (handlers.isReady()) OK else UNAVAILABLE)
             else -> admin(context)
         }
