Receive peer reports on one thread, and sum their loads once a report

Cause: each datagram passed a selector thread, a socket coroutine and a channel before it was read; at 95 instances 125 come each second. Each selection of a server summed the loads of all reports again.

Change: a blocking datagram channel with one thread that handles each report itself; sums are kept until a report arrives.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -36,19 +37,21 @@
 ) {
     private val sequence = AtomicLong()
 
+    @Volatile
     private var socket: ReportSocket? = null
 
     /** Sends changed rows to the live instances of [domain], or nothing where a datagram can't hold them. */
-    suspend fun forwardRows(domain: String, rows: RowsPart) {
+    fun forwardRows(domain: String, rows: RowsPart) {
         if (rows.rows.sumOf { it.value.size } > MAX_FORWARDED_BYTES) return
         socket?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), view.liveAddressesIn(domain))
     }
 
     /** Opens the socket, then registers, sends and receives in [scope] until it ends. */
-    suspend fun start(scope: CoroutineScope) {
+    fun start(scope: CoroutineScope) {
         val socket = ReportSocket.open(address)
         this.socket = socket
-        socket.receive(scope) { received -> view.accept(received)?.let(onReport) }
+        scope.coroutineContext.job.invokeOnCompletion { socket.close() }
+        socket.receive { received -> view.accept(received)?.let(onReport) }
         scope.launch { registerAndDiscover() }
         scope.launch {
             while (true) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
@@ -10,6 +10,7 @@
 import org.berylpoint.model.serving.Service
 import org.berylpoint.model.serving.ServiceName
 import org.berylpoint.peer.LoadPart
+import org.berylpoint.peer.NodeReport
 import org.berylpoint.policy.placement.AttemptSignal
 import org.berylpoint.policy.placement.ColdServerRateLimiter
 import org.berylpoint.policy.placement.PlacementRequest
@@ -75,6 +76,10 @@
 
     private val loads = HashMap<BackendServerId, Pair<ServerKey, Load>>()
 
+    /** The reports from which [remoteSums] was computed. */
+    private var summedReports: List<NodeReport>? = null
+    private var remoteSums: Map<String, LoadPart> = emptyMap()
+
     /** Reserves capacity for a request to [service] at a server that is not in [excluded]. */
     @Synchronized
     public fun reserve(service: Service, demand: PlacementRequest, excluded: Set<BackendServerId>): ReservationResult {
@@ -182,15 +187,18 @@
         return load
     }
 
+    /** Load of the other instances by server, summed again only when a report has arrived since. */
     private fun remoteLoads(): Map<String, LoadPart> {
+        val reports = peers.liveReports
+        if (reports === summedReports) return remoteSums
         val sums = HashMap<String, LoadPart>()
-        for (report in peers.liveReports) {
-            for (part in report.loads) {
-                sums.merge(part.server, part) { a, b ->
-                    LoadPart(a.server, a.active + b.active, a.pendingTokens + b.pendingTokens)
-                }
+        for (part in reports.flatMap { it.loads }) {
+            sums.merge(part.server, part) { a, b ->
+                LoadPart(a.server, a.active + b.active, a.pendingTokens + b.pendingTokens)
             }
         }
+        summedReports = reports
+        remoteSums = sums
         return sums
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/FeedReaderSelection.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/FeedReaderSelection.kt
@@ -15,7 +15,7 @@
     private val self: String,
     private val domain: String,
     private val peers: PeerView,
-    private val sendRows: suspend (RowsPart) -> Unit,
+    private val sendRows: (RowsPart) -> Unit,
 ) {
     /** Interval at which an instance that reads no feed polls the store, whether or not peers have newer rows. */
     public val pollInterval: Duration get() = POLL_INTERVAL
@@ -33,7 +33,7 @@
     }
 
     /** Sends changed rows to the other instances of the failure domain. */
-    public suspend fun forwardRows(rows: RowsPart): Unit = sendRows(rows)
+    public fun forwardRows(rows: RowsPart): Unit = sendRows(rows)
 
     private companion object {
         const val FEED_KEY = "feed"
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -197,7 +197,7 @@
             return null
         }
 
-        private suspend fun applyChanges(rows: StoreRows): StoreError? {
+        private fun applyChanges(rows: StoreRows): StoreError? {
             val previousRowRevision = rowRevision
             synchronized(applyLock) {
                 update(rows.rows)
