Keep fencing tokens rising past an unreadable lease, and ignore old rows

Cause: a lease row that could not be decoded counted as no lease, so the next holder's token was 1 and orders of the earlier one outranked it. In SiteState a row older than a deletion brought back a server that had left and an operators' order that had ended, and a deletion applied whatever its revision; only the order of the watcher's reads prevented it. Both were found by reading.

Change: LeaseClaim takes a token above the row's revision, which no earlier token exceeds, and replaces an unreadable row only after a lease's time; SiteState compares revisions with those of deletions.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/DutyLeaseManager.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/DutyLeaseManager.kt
@@ -15,7 +15,9 @@
 import org.berylpoint.platform.store.StoreRow
 import org.berylpoint.policy.Rendezvous
 import org.berylpoint.policy.duty.HeldLease
+import org.berylpoint.policy.duty.LeaseClaim
 import org.berylpoint.policy.duty.LeaseRecord
+import org.berylpoint.policy.duty.StoredLease
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The lease as it is stored in JSON; [expires] is in milliseconds of the store's clock. */
@@ -37,6 +39,7 @@
     private val log: DecisionLog,
     private val durationMillis: Long,
 ) {
+    private val claim = LeaseClaim(durationMillis)
     private var held: HeldLease? = null
     private var revision = 0L
     private var vacantSinceMillis: Long? = null
@@ -81,10 +84,8 @@
             ifLeft = { log.event("duty", "reading the lease failed", "cause" to it) },
             ifRight = { rows ->
                 val row = rows.rows.firstOrNull { it.key == KEY }
-                val record = row?.let(::recordOf)
-                if (record == null || record.expiresAtMillis < rows.clockMillis) {
-                    writeLease((record?.fencingToken ?: 0) + 1, row?.revision ?: 0, rows.clockMillis)
-                }
+                val token = claim.token(storedLease(row), rows.clockMillis, clocks.steadyMillis)
+                if (token != null) writeLease(token, row?.revision ?: 0, rows.clockMillis)
             },
         )
     }
@@ -121,12 +122,15 @@
         }
     }
 
-    private fun recordOf(row: StoreRow): LeaseRecord? = try {
-        val json = Json.decodeFromString(LeaseRow.serializer(), row.value.decodeToString())
-        LeaseRecord(json.holder, json.token, json.expires)
-    } catch (e: SerializationException) {
-        log.event("duty", "the lease row is malformed", "cause" to e.message)
-        null
+    private fun storedLease(row: StoreRow?): StoredLease {
+        if (row == null) return StoredLease.Absent
+        return try {
+            val json = Json.decodeFromString(LeaseRow.serializer(), row.value.decodeToString())
+            StoredLease.Readable(LeaseRecord(json.holder, json.token, json.expires), row.revision)
+        } catch (e: SerializationException) {
+            log.event("duty", "the lease row is malformed", "cause" to e.message)
+            StoredLease.Unreadable(row.revision)
+        }
     }
 
     private companion object {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -16,8 +16,12 @@
  * one applied is ignored.
  */
 public class SiteState(private val clocks: Clocks, private val log: DecisionLog) {
+    /** Revisions of the operators' rows that were applied last, deletions included. */
     private val operatorRevisions = HashMap<String, Long>()
 
+    /** Revisions at which servers left, so that an older row does not bring them back. */
+    private val departedRevisions = LinkedHashMap<BackendServerId, Long>()
+
     /** Servers whose entries have disappeared while the store recovers, with the steady-clock time of that. */
     private val missingSinceMillis = HashMap<BackendServerId, Long>()
     private var lastStoreFailureAtMillis = Long.MIN_VALUE / 2
@@ -36,7 +40,7 @@
     @Synchronized
     public fun replaceOperatorRows(rows: List<StoreRow>) {
         val keys = rows.map { it.key }.toSet()
-        for (key in operatorRevisions.keys - keys) removeOperatorRow(key)
+        for (key in operatorRevisions.keys - keys) removeOperatorOrder(key)
         rows.forEach(::applyOperatorRow)
     }
 
@@ -68,12 +72,12 @@
     }
 
     private fun applyOperatorRow(row: StoreRow) {
-        if (row.revision <= (operatorRevisions[row.key] ?: -1) && !row.isDeleted) return
+        if (row.revision <= (operatorRevisions[row.key] ?: -1)) return
+        operatorRevisions[row.key] = row.revision
         if (row.isDeleted) {
-            removeOperatorRow(row.key)
+            removeOperatorOrder(row.key)
             return
         }
-        operatorRevisions[row.key] = row.revision
         val domain = StoreNames.takenOutDomain(row.key)
         when {
             row.key == StoreNames.CONFIG_KEY -> applyConfig(row)
@@ -116,9 +120,8 @@
         log.event("site", "a rollout is ordered", "service" to order.service.value, "to" to order.to.value)
     }
 
-    private fun removeOperatorRow(key: String) {
-        operatorRevisions.remove(key) ?: return
-        val domain = StoreNames.takenOutDomain(key)
+    private fun removeOperatorOrder(key: String) {
+        val domain = StoreNames.takenOutDomain(key)?.takeIf { FailureDomain(it) in view.outOfServiceDomains }
         if (domain != null) {
             view = view.copy(outOfServiceDomains = (view.outOfServiceDomains - FailureDomain(domain)).toPersistentSet())
             log.event("site", "a failure domain is back in service", "domain" to domain)
@@ -130,8 +133,9 @@
     private fun applyServerRow(row: StoreRow, isLogged: Boolean) {
         val id = BackendServerId(row.key)
         val current = view.servers[id]
-        if (current != null && row.revision < current.revision) return
+        if (row.revision < maxOf(current?.revision ?: 0, departedRevisions[id] ?: 0)) return
         if (row.isDeleted) {
+            recordDeparture(id, row.revision)
             handleDeletion(id)
             return
         }
@@ -164,6 +168,12 @@
             (if (isReclaimable) " reclaimable" else "")
     }
 
+    private fun recordDeparture(id: BackendServerId, revision: Long) {
+        departedRevisions.remove(id)
+        departedRevisions[id] = revision
+        if (departedRevisions.size > MAX_DEPARTED) departedRevisions.remove(departedRevisions.keys.first())
+    }
+
     private fun handleDeletion(id: BackendServerId) {
         if (isRecovering()) missingSinceMillis[id] = clocks.steadyMillis else removeServer(id, "its entry was deleted")
     }
@@ -180,5 +190,6 @@
     private companion object {
         /** Time after the last store failure in which live servers write their lapsed entries again. */
         const val RECOVERY_MILLIS = 2_200L
+        const val MAX_DEPARTED = 1_000
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/SiteStateTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/SiteStateTest.kt
@@ -71,8 +71,39 @@
             state.replaceOperatorRows(emptyList())
             state.view.outOfServiceDomains shouldBe emptySet()
         }
+
+        // Guards against a departed server that an old row, read or forwarded late, puts into use again.
+        test("an older row does not bring a server back that has left") {
+            val (state, _) = createState()
+            state.updateServerRows(listOf(server("a", 5)))
+            state.updateServerRows(listOf(StoreRow("servers", "a", ByteArray(0), 8, isDeleted = true)))
+            state.updateServerRows(listOf(server("a", 7)))
+            state.view.servers.size shouldBe 0
+            state.updateServerRows(listOf(server("a", 9)))
+            state.view.servers.size shouldBe 1
+        }
+
+        test("an older row does not take a domain out of service again, nor an older deletion bring it back") {
+            val (state, _) = createState()
+            state.updateOperatorRows(listOf(takenOut(revision = 5), takenOut(revision = 8, isDeleted = true)))
+            state.updateOperatorRows(listOf(takenOut(revision = 5)))
+            state.view.outOfServiceDomains shouldBe emptySet()
+            state.updateOperatorRows(listOf(takenOut(revision = 9), takenOut(revision = 8, isDeleted = true)))
+            state.view.outOfServiceDomains shouldBe setOf(FailureDomain("z"))
+        }
+
+        // Guards against a withdrawn key that is accepted again after a restart.
+        test("a new process does not take an older configuration from a peer after it has read a newer one") {
+            val (state, _) = createState()
+            state.replaceOperatorRows(listOf(config(7, revision = 20)))
+            state.updateOperatorRows(listOf(config(5, revision = 10), config(6, revision = 30)))
+            state.view.config?.version shouldBe 7
+        }
     })
 
+private fun takenOut(revision: Long, isDeleted: Boolean = false) =
+    StoreRow("op", "evacuate/z", "{}".encodeToByteArray(), revision, isDeleted)
+
 private fun createState(): Pair<SiteState, TestTimeSource> {
     val time = TestTimeSource()
     return SiteState(Clocks(time) { 0 }, DecisionLog()) to time
