--- a/peer/src/main/kotlin/org/berylpoint/peer/ReportSocket.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/ReportSocket.kt
@@ -14,8 +14,8 @@
 /**
  * Sends and receives [NodeReport]s as UDP datagrams. Datagrams may be lost; nothing is sent again.
  *
- * One thread blocks in the receive call and handles each datagram itself: at hundreds of instances, passing every
- * datagram on to another thread would cost more than reading it.
+ * One thread handles the datagrams that have arrived every [RECEIVE_INTERVAL_MILLIS]. At hundreds of instances, waking
+ * up for each of them, or passing each on to another thread, would cost more than reading it.
  */
 public class ReportSocket private constructor(private val channel: DatagramChannel) : AutoCloseable {
     private val targets = ConcurrentHashMap<String, InetSocketAddress>()
@@ -24,7 +24,10 @@
     public fun receive(handle: (NodeReport) -> Unit) {
         thread(name = "peer-reports", isDaemon = true) {
             val buffer = ByteBuffer.allocate(MAX_DATAGRAM_BYTES)
-            while (receiveOne(buffer, handle)) Unit
+            while (channel.isOpen) {
+                receiveArrived(buffer, handle)
+                Thread.sleep(RECEIVE_INTERVAL_MILLIS)
+            }
         }
     }
 
@@ -42,26 +45,33 @@
 
     override fun close(): Unit = channel.close()
 
-    /** Handles one datagram; false once the socket is closed. */
-    private fun receiveOne(buffer: ByteBuffer, handle: (NodeReport) -> Unit): Boolean {
+    private fun receiveArrived(buffer: ByteBuffer, handle: (NodeReport) -> Unit) {
         try {
-            channel.receive(buffer.clear())
-            buffer.flip()
-            handle(NodeReportCodec.decode(ByteArray(buffer.remaining()).also(buffer::get)))
+            while (channel.receive(buffer.clear()) != null) handleDatagram(buffer.flip(), handle)
         } catch (e: ClosedChannelException) {
-            return false
+            log.debug { "peer: the report socket was closed" }
+        } catch (e: IOException) {
+            log.warn { "peer: receiving reports failed: ${e.message}" }
+        }
+    }
+
+    private fun handleDatagram(datagram: ByteBuffer, handle: (NodeReport) -> Unit) {
+        try {
+            handle(NodeReportCodec.decode(ByteArray(datagram.remaining()).also(datagram::get)))
         } catch (e: Exception) {
             log.warn { "peer: a datagram could not be read: ${e.message}" }
         }
-        return true
     }
 
     public companion object {
         private const val MAX_DATAGRAM_BYTES = 65_535
 
+        /** Short against the time between two reports of an instance. */
+        private const val RECEIVE_INTERVAL_MILLIS = 40L
+
         /** Opens the socket on an IP number and port. */
         public fun open(address: String): ReportSocket =
-            ReportSocket(DatagramChannel.open().bind(socketAddress(address)))
+            ReportSocket(DatagramChannel.open().bind(socketAddress(address)).apply { configureBlocking(false) })
 
         private fun socketAddress(address: String) =
             InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
