Order servers for the tokens to prefill, not for all that callers send

Change: demand counts the tokens that no other request shares, and shared ones where placement expects the server's cache to lack them.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/CapacityDuty.kt
@@ -45,16 +45,16 @@
     public fun recordDemand() {
         for (service in scaledServices()) {
             val meter = meters.getOrPut(service.name) { DemandMeter() }
-            meter.add(promptTokens(service), activeRequests(service), clocks.steadyMillis)
+            meter.add(prefillTokens(service), activeRequests(service), clocks.steadyMillis)
         }
         detectReclaims()
     }
 
-    /** Prompt tokens requested from [service] so far, by process. */
-    private fun promptTokens(service: Service): Map<String, Long> = peers.allReports(ownReport())
+    /** Prompt tokens that [service] had to prefill so far, by process. */
+    private fun prefillTokens(service: Service): Map<String, Long> = peers.allReports(ownReport())
         .flatMap { report -> report.demands.map { "${report.name}/${report.startedAtMillis}" to it } }
         .filter { (_, part) -> part.service == service.name.value }
-        .associate { (process, part) -> process to part.promptTokens }
+        .associate { (process, part) -> process to part.prefillTokens }
 
     /** Requests in progress at the servers of [service]. */
     private fun activeRequests(service: Service): Int {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
@@ -68,6 +68,9 @@
     val prefixKey: String?,
     val prefixTokens: Long,
 ) {
+    /** Prompt tokens that no other request shares, so that a server always has to prefill them. */
+    val ownTokens: Long get() = promptTokens - prefixTokens
+
     /** Cost in a cap that counts tokens. */
     val total: Long get() = promptTokens + outputTokens
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -5,15 +5,11 @@
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.entry.gateway.GatewayMetrics
 import org.berylpoint.entry.gateway.caller.CallerExchange
-import org.berylpoint.entry.gateway.server.ReservationResult
 import org.berylpoint.entry.gateway.server.ServerClient
 import org.berylpoint.entry.gateway.server.ServerPool
-import org.berylpoint.entry.gateway.server.ServerReservation
 import org.berylpoint.entry.gateway.site.SiteState
-import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.ErrorKind
 import org.berylpoint.platform.wire.RequestHeaders
-import org.berylpoint.policy.placement.AttemptSignal
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
@@ -23,16 +19,17 @@
 public class RequestFlow(
     private val clocks: Clocks,
     private val site: SiteState,
-    private val pool: ServerPool,
-    private val client: ServerClient,
-    private val counts: SharedCounts,
+    pool: ServerPool,
+    client: ServerClient,
+    counts: SharedCounts,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     random: Random,
     /** Whether the instance is about to stop, so that a new request might be cut off. */
     private val isLeaving: () -> Boolean = { false },
 ) {
-    private val admission = Admission(site, counts, random)
+    private val context =
+        FlowContext(clocks, pool, client, counts, log, metrics, Admission(site, counts, random))
     private val inFlightCount = AtomicInteger()
 
     /** Requests in progress. */
@@ -45,7 +42,7 @@
         try {
             if (isLeaving()) {
                 val id = exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty()
-                refuse(
+                context.refuse(
                     exchange,
                     id,
                     Refusal(ErrorKind.ShuttingDown, "the instance is stopping", STOPPING_RETRY_AFTER_MILLIS),
@@ -54,16 +51,21 @@
                 return
             }
             awaitConfiguration()
-            admission.admit(exchange.request, arrivedAtMillis).fold(
+            context.admission.admit(exchange.request, arrivedAtMillis).fold(
                 ifLeft = {
-                    refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), it, arrivedAtMillis)
+                    context.refuse(
+                        exchange,
+                        exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(),
+                        it,
+                        arrivedAtMillis,
+                    )
                 },
-                ifRight = { RequestAttempts(exchange, it).run() },
+                ifRight = { RequestAttempts(exchange, it, context).run() },
             )
         } catch (e: IOException) {
             val id = exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty()
             log.request("flow", id, "caller-gone", "cause" to e.message, "age" to clocks.steadyMillis - arrivedAtMillis)
-            metrics.requestEnded("caller-gone", NO_ROUTE, clocks.steadyMillis - arrivedAtMillis)
+            metrics.requestEnded("caller-gone", FlowContext.NO_ROUTE, clocks.steadyMillis - arrivedAtMillis)
         } finally {
             inFlightCount.decrementAndGet()
         }
@@ -77,295 +79,12 @@
         while (!site.view.canServe && clocks.steadyMillis < STARTUP_WAIT_MILLIS) delay(STARTUP_POLL_MILLIS.milliseconds)
     }
 
-    private fun refuse(exchange: CallerExchange, id: String, refusal: Refusal, arrivedAtMillis: Long) {
-        val kind = refusal.kind
-        log.request(
-            "flow", id, "refused", "kind" to kind.name, "status" to kind.status, "cause" to refusal.cause,
-            "retryAfter" to refusal.retryAfterMillis, "age" to clocks.steadyMillis - arrivedAtMillis,
-            "target" to exchange.request.target,
-        )
-        // No label from the path: callers could send any number of paths that no route matches.
-        metrics.requestEnded(kind.name, NO_ROUTE, clocks.steadyMillis - arrivedAtMillis)
-        val headers = buildList {
-            if (id.isNotEmpty()) add(RequestHeaders.REQUEST_ID to id)
-            refusal.retryAfterMillis?.let { add(RequestHeaders.RETRY_AFTER to "%.2f".format(it / MILLIS_PER_SECOND)) }
-            add("Content-Type" to "text/plain")
-        }
-        exchange.respond(kind.status, headers, (kind.title + "\n").encodeToByteArray())
-    }
-
-    /** An admitted request with the state of its attempts. */
-    private inner class RequestAttempts(private val exchange: CallerExchange, private val request: AdmittedRequest) {
-        private val triedServers = HashSet<BackendServerId>()
-        private val progress = ResponseProgress()
-
-        /** Attempts in which a server ran the request or may have run it. */
-        private var runs = 0
-
-        /** Attempts in which the request may have reached a server. */
-        private var sends = 0
-
-        /** Attempts in which nothing of the request was sent, for instance because the connection was refused. */
-        private var unsent = 0
-        private var isCharged = false
-        private var lastFailure = "no attempt was made"
-
-        suspend fun run() {
-            val crashes = counts.crashCount(request.fingerprint)
-            if (crashes >= MAX_CRASHES) {
-                refuseUnrun(
-                    ErrorKind.NoCapacity,
-                    "$crashes connections to servers were lost during this request",
-                    QUARANTINE_RETRY_AFTER_MILLIS,
-                )
-                return
-            }
-            admission.charge(request)?.let {
-                refuse(exchange, request.id, it, request.arrivedAtMillis)
-                return
-            }
-            isCharged = true
-            counts.countFirstAttempt(
-                request.service.name,
-                request.tokens?.promptTokens ?: 0,
-                request.tokens?.outputTokens ?: 0,
-            )
-            while (attempt()) Unit
-        }
-
-        /** Makes one attempt; true if another one has to follow. */
-        private suspend fun attempt(): Boolean {
-            val reservation = awaitReservation() ?: return false
-            if (runs > 0) request.workspace?.let { counts.chargeRerun(it, request.capCost) }
-            val serverExchange = client.send(
-                reservation.server.entry.id,
-                reservation.server.entry.address,
-                request.toServerRequest(reservation, remainingMillis(), progress),
-            )
-            triedServers += reservation.server.entry.id
-            val attempt = ServerAttempt(exchange, request, reservation, serverExchange, progress, clocks, ::tryMove)
-            val end = try {
-                attempt.run { onStarted(reservation) }
-            } catch (e: IOException) {
-                serverExchange.cancel()
-                pool.release(reservation, null)
-                throw e
-            }
-            return conclude(reservation, end)
-        }
-
-        private fun onStarted(reservation: ServerReservation) {
-            pool.markStarted(reservation)
-            progress.firstEventMillis = progress.firstEventMillis ?: (clocks.steadyMillis - request.arrivedAtMillis)
-            countUsage()
-        }
-
-        private fun countUsage() {
-            if (progress.isUsageCounted) return
-            progress.isUsageCounted = true
-            request.workspace?.let { counts.countUsage(it.workspace) }
-        }
-
-        private fun conclude(reservation: ServerReservation, end: AttemptEnd): Boolean {
-            pool.release(reservation, signalOf(end))
-            count(reservation, end)
-            if (end !is AttemptEnd.Complete) recordFailure(reservation, end)
-            return when (end) {
-                is AttemptEnd.Interrupted -> {
-                    if (end.isConnectionLost) counts.countCrash(request.fingerprint)
-                    retryOrFail()
-                }
-                is AttemptEnd.Stalled -> true
-                is AttemptEnd.Error -> if (mayRetryRun()) true else forwardError(end)
-                is AttemptEnd.NotRun -> resendOrRefuse(end)
-                is AttemptEnd.TimedOut -> {
-                    failRequest(ErrorKind.DeadlineExceeded)
-                    false
-                }
-                is AttemptEnd.CallerDisconnected -> throw IOException("the caller disconnected")
-                is AttemptEnd.Complete -> {
-                    counts.countCompleted(request.fingerprint)
-                    served(reservation, end)
-                    false
-                }
-            }
-        }
-
-        private fun count(reservation: ServerReservation, end: AttemptEnd) {
-            if (end is AttemptEnd.NotRun && !end.reachedServer) unsent++ else sends++
-            if (end is AttemptEnd.NotRun) return
-            runs++
-            if (end is AttemptEnd.CallerDisconnected) return
-            if (!request.isStream) countUsage()
-            counts.countOutcome(request.service.name, reservation.server.entry.version, end is AttemptEnd.Complete)
-        }
-
-        private fun recordFailure(reservation: ServerReservation, end: AttemptEnd) {
-            lastFailure = end.toString()
-            log.request(
-                "flow", request.id, "attempt-failed", "server" to reservation.server.entry.id.value,
-                "revision" to reservation.server.revision, "cause" to lastFailure, "age" to ageMillis(),
-                "sends" to sends,
-                "lastEvent" to progress.lastEventId, "expected" to reservation.expectedMillis.toLong(),
-                "sentAfter" to reservation.reservedAtMillis - request.arrivedAtMillis,
-            )
-            metrics.attemptFailed(end.metricLabel)
-        }
-
-        private fun retryOrFail(): Boolean {
-            if (mayRetryRun()) return true
-            failRequest(ErrorKind.BackendFailed)
-            return false
-        }
-
-        private fun mayRetryRun(): Boolean = mayRunAfter(runs)
-
-        /** Like [mayRetryRun], while an attempt is in progress. */
-        private fun tryMove(): Boolean = mayRunAfter(runs + 1)
-
-        /** Takes one attempt out of the retry budget if the request may run again after [runs] runs. */
-        private fun mayRunAfter(runs: Int): Boolean = request.route.isIdempotent &&
-            runs < request.route.maxAttempts &&
-            !progress.lastEventHasNoId &&
-            remainingMillis() > MIN_REMAINING_MILLIS &&
-            counts.tryRetry(request.service.name)
-
-        private fun resendOrRefuse(end: AttemptEnd.NotRun): Boolean {
-            val isWithinLimit = sends < request.route.maxAttempts + EXTRA_SENDS && unsent < MAX_UNSENT
-            val mayResend = isWithinLimit && remainingMillis() > MIN_REMAINING_MILLIS
-            if (mayResend && (!end.reachedServer || counts.tryRetry(request.service.name))) return true
-            when {
-                runs > 0 -> failRequest(ErrorKind.BackendFailed)
-                else -> refuseUnrun(ErrorKind.NoCapacity, end.toString(), NOT_RUN_RETRY_AFTER_MILLIS)
-            }
-            return false
-        }
-
-        /** Forwards the server's error response unchanged, unless its status would tell the caller that nothing ran. */
-        private fun forwardError(end: AttemptEnd.Error): Boolean {
-            if (progress.isResponseStarted || end.status in NOT_RUN_STATUSES) {
-                failRequest(ErrorKind.BackendFailed)
-            } else {
-                exchange.respond(end.status, end.headers, end.body)
-                recordEnd("server-error")
-            }
-            return false
-        }
-
-        /** Ends a request that may have run: aborts a response that was started, or sends an error response. */
-        private fun failRequest(kind: ErrorKind) {
-            if (progress.isResponseStarted) {
-                recordEnd("broken-off")
-                exchange.abort()
-            } else {
-                refuse(exchange, request.id, Refusal(kind, lastFailure), request.arrivedAtMillis)
-            }
-        }
-
-        /** Refuses a request that did not run, refunds its charge, and counts it as refused for lack of servers. */
-        private fun refuseUnrun(kind: ErrorKind, cause: String, retryAfterMillis: Long) {
-            counts.countNoCapacity(request.service.name)
-            if (isCharged) request.workspace?.let { counts.refund(it, request.capCost) }
-            refuse(exchange, request.id, Refusal(kind, cause, retryAfterMillis), request.arrivedAtMillis)
-        }
-
-        /**
-         * Reserves capacity at a server. Waits at most the part of the target latency that [WAIT_DIVISOR] sets, and not
-         * when too little time is left before the deadline; null when the request was refused or failed instead.
-         */
-        private suspend fun awaitReservation(): ServerReservation? {
-            val waitLimit = clocks.steadyMillis + request.route.targetLatencyMillis / WAIT_DIVISOR
-            while (true) {
-                if (exchange.isDisconnected()) throw IOException("the caller disconnected")
-                val wait = when (val result = pool.reserve(request.service, request.demand, triedServers)) {
-                    is ReservationResult.Reserved -> return result.reservation
-                    is ReservationResult.Full -> result.waitMillis
-                    is ReservationResult.NoServer -> NO_SERVER_WAIT_MILLIS
-                }
-                val now = clocks.steadyMillis
-                if (now >= waitLimit || wait > waitLimit - now || remainingMillis() < MIN_REMAINING_MILLIS) {
-                    if (runs > 0 || progress.isResponseStarted) {
-                        failRequest(ErrorKind.BackendFailed)
-                    } else {
-                        val target = request.route.targetLatencyMillis
-                        refuseUnrun(ErrorKind.NoCapacity, "no server can start the request within $target ms", wait)
-                    }
-                    return null
-                }
-                delay(minOf(wait, RESERVE_POLL_MILLIS).milliseconds)
-            }
-        }
-
-        private fun served(reservation: ServerReservation, end: AttemptEnd.Complete) {
-            if (progress.isResponseStarted) {
-                exchange.completeResponse()
-            } else {
-                exchange.respond(end.status, end.headers, end.body)
-            }
-            val isLate = (progress.firstEventMillis ?: ageMillis()) > request.route.targetLatencyMillis
-            log.served(
-                request.id,
-                isLate,
-                "server" to reservation.server.entry.id.value,
-                "revision" to reservation.server.revision,
-                "route" to request.route.name,
-                "age" to ageMillis(),
-                "first" to progress.firstEventMillis,
-                "expected" to reservation.expectedMillis.toLong(),
-                "sends" to sends,
-                "wait" to reservation.reservedAtMillis - request.arrivedAtMillis,
-                "tokens" to request.tokens?.promptTokens,
-            )
-            recordEnd("served")
-        }
-
-        private fun recordEnd(outcome: String) =
-            metrics.requestEnded(outcome, request.route.name, progress.firstEventMillis ?: ageMillis())
-
-        private fun ageMillis() = clocks.steadyMillis - request.arrivedAtMillis
-
-        private fun remainingMillis() = request.deadlineMillis - clocks.steadyMillis
-    }
-
-    private fun signalOf(end: AttemptEnd): AttemptSignal? = when (end) {
-        is AttemptEnd.Complete -> AttemptSignal.GOOD
-        is AttemptEnd.Error, is AttemptEnd.Interrupted, is AttemptEnd.Stalled -> AttemptSignal.FAILED
-        is AttemptEnd.NotRun -> if (end.reachedServer) AttemptSignal.REFUSED else AttemptSignal.UNREACHABLE
-        is AttemptEnd.TimedOut -> AttemptSignal.FAILED.takeIf { end.hadNotStarted }
-        is AttemptEnd.CallerDisconnected -> null
-    }
-
     private companion object {
-        const val MILLIS_PER_SECOND = 1000.0
-        const val NO_ROUTE = "none"
-
         /** Time from the start of the process during which requests wait for the configuration. */
         const val STARTUP_WAIT_MILLIS = 1_000L
         const val STARTUP_POLL_MILLIS = 10L
 
-        /** Lost server connections, over all instances, after which the same request is refused. */
-        const val MAX_CRASHES = 3
-
         /** Short, since another instance can serve the request at once. */
         const val STOPPING_RETRY_AFTER_MILLIS = 10L
-        const val QUARANTINE_RETRY_AFTER_MILLIS = 30_000L
-
-        /** Sends that a request may make beyond the route's attempts when servers refuse it without running it. */
-        const val EXTRA_SENDS = 1
-
-        /** Attempts that one request may make in which nothing of it is sent. */
-        const val MAX_UNSENT = 4
-
-        /** A request with less time left is not sent again, nor does it wait for a server. */
-        const val MIN_REMAINING_MILLIS = 30L
-
-        /** A request may wait for capacity at a server for the target latency divided by this. */
-        const val WAIT_DIVISOR = 8
-        const val RESERVE_POLL_MILLIS = 20L
-        const val NO_SERVER_WAIT_MILLIS = 500L
-        const val NOT_RUN_RETRY_AFTER_MILLIS = 200L
-
-        /** Statuses that tell a caller that the request did not run. */
-        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -235,7 +235,8 @@
     (this[size - 2] == LINE_FEED || (size >= 3 && this[size - 2] == CARRIAGE_RETURN && this[size - 3] == LINE_FEED))
 
 /** Whether all lines are comments, which some servers send to keep a connection alive. */
-private fun ByteArray.isComment(): Boolean = isNotEmpty() && this[0] == COLON &&
+private fun ByteArray.isComment(): Boolean = isNotEmpty() &&
+    this[0] == COLON &&
     decodeToString().lines().all { it.isEmpty() || it.startsWith(':') }
 
 private const val COLON = ':'.code.toByte()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -21,7 +21,7 @@
  * crashes, outcomes and demand. The process sends them to the other instances in its reports.
  */
 public class SharedCounts(private val clocks: Clocks, private val peers: PeerView, private val bounds: GatewayBounds) {
-    private class DemandSum(var prompt: Long = 0, var output: Long = 0, var refused: Long = 0)
+    private class DemandSum(var prefill: Long = 0, var output: Long = 0, var refused: Long = 0)
     private class OutcomeSum(var good: Long = 0, var bad: Long = 0)
 
     private val caps = HashMap<Workspace, UsageCap>()
@@ -112,15 +112,24 @@
     /** Whether this process is younger than a cap window, so that it doesn't know all that was admitted in it. */
     private fun isNewProcess() = clocks.steadyMillis < bounds.capTolerance.windowMillis
 
-    /** Counts the first attempt of a request to [service] for the retry budget, and its tokens as demand. */
+    /**
+     * Counts the first attempt of a request to [service] for the retry budget, and its tokens as demand: of the prompt
+     * the [prefillTokens], which no other request shares.
+     */
     @Synchronized
-    public fun countFirstAttempt(service: ServiceName, promptTokens: Long, outputTokens: Long) {
+    public fun countFirstAttempt(service: ServiceName, prefillTokens: Long, outputTokens: Long) {
         retriesOf(service).recordFirstAttempt(clocks.steadyMillis)
         val sum = demands.getOrPut(service) { DemandSum() }
-        sum.prompt += promptTokens
+        sum.prefill += prefillTokens
         sum.output += outputTokens
     }
 
+    /** Counts shared prompt tokens that a server of [service] has to prefill, since its cache lacks them. */
+    @Synchronized
+    public fun countSharedPrefill(service: ServiceName, tokens: Long) {
+        demands.getOrPut(service) { DemandSum() }.prefill += tokens
+    }
+
     /** Counts a request to [service] that was refused for lack of servers. */
     @Synchronized
     public fun countNoCapacity(service: ServiceName) {
@@ -179,7 +188,7 @@
         usage = usage.snapshot().map { (window, counts) -> WindowPart(window, counts.mapKeys { it.key.name }) },
         outcomes = outcomes.map { (key, sum) -> VersionPart(key.first.value, key.second.value, sum.good, sum.bad) },
         crashes = crashes.entries.toList().takeLast(MAX_REPORTED_FINGERPRINTS).associate { it.key to it.value },
-        demands = demands.map { (service, sum) -> DemandPart(service.value, sum.prompt, sum.output, sum.refused) },
+        demands = demands.map { (service, sum) -> DemandPart(service.value, sum.prefill, sum.output, sum.refused) },
         windowTotals = windowTotals(),
     )
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -19,6 +19,7 @@
 import org.berylpoint.entry.settings.GatewayBounds
 import org.berylpoint.model.BackendServerId
 import org.berylpoint.model.FailureDomain
+import org.berylpoint.peer.NodeReport
 import org.berylpoint.platform.store.StoreRow
 import org.berylpoint.policy.quota.CapTolerance
 import java.io.IOException
@@ -63,6 +64,9 @@
 
     fun configure() = site.replaceOperatorRows(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
 
+    /** Tokens to prefill that count as demand so far. */
+    fun prefillTokens(): Long = counts.addTo(NodeReport("self", "a", 1, 1, 1)).demands.sumOf { it.prefillTokens }
+
     private inner class ScriptedExchange(private val id: BackendServerId, script: List<ScriptedEvent>) :
         ServerExchange {
         private val remaining = ArrayDeque(script)
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -346,6 +346,20 @@
             }
         }
 
+        test("shared prompt tokens do not count as demand where the server is expected to have them cached") {
+            runTest {
+                val fixture = RequestFlowFixture(this)
+                fixture.scripts += okResponse()
+                delay(LONGER_THAN_WINDOW)
+                val headers = listOf(
+                    "X-Berylpoint-Token-Usage" to "50,5",
+                    "X-Berylpoint-Prompt-Prefix" to "a1:40,b2:10",
+                )
+                RecordingCaller("/look/1", "GET", headers).also { fixture.flow.serve(it) }.status shouldBe 200
+                fixture.prefillTokens() shouldBe 10
+            }
+        }
+
         test("a draining server gets no new requests, and a request without any server is refused") {
             runTest {
                 val fixture = RequestFlowFixture(this, servers = 2)
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
@@ -8,6 +8,7 @@
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.model.Workspace
+import org.berylpoint.model.serving.ServiceName
 import org.berylpoint.model.serving.WorkspacePolicy
 import org.berylpoint.peer.NodeReport
 import kotlin.time.Duration.Companion.seconds
@@ -31,6 +32,14 @@
             young.counts.tryCharge(POLICY, 1.0).shouldNotBeNull()
         }
 
+        // Guards against too few servers when shared prompts are prefilled again at other servers.
+        test("shared prompt tokens that a server has to prefill count as demand") {
+            val instance = TestInstance("a")
+            instance.counts.countFirstAttempt(ServiceName("s"), prefillTokens = 10, outputTokens = 5)
+            instance.counts.countSharedPrefill(ServiceName("s"), tokens = 40)
+            instance.report(sequence = 1).demands.single().prefillTokens shouldBe 50
+        }
+
         test("reports carry no window totals if no instance has a new process") {
             val old = TestInstance("old")
             old.time += 9.seconds
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -96,7 +96,8 @@
 @Serializable
 public data class DemandPart(
     @CborLabel(1) val service: String,
-    @CborLabel(2) val promptTokens: Long,
+    /** Prompt tokens to prefill, without those that prefix caches are expected to hold. */
+    @CborLabel(2) val prefillTokens: Long,
     @CborLabel(3) val outputTokens: Long,
     @CborLabel(4) val refused: Long,
 )
--- a/policy/src/main/kotlin/org/berylpoint/policy/capacity/DemandMeter.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/capacity/DemandMeter.kt
@@ -2,20 +2,21 @@
 
 /** Load that callers place on a service. */
 public data class ServiceDemand(
-    val promptTokensPerSecond: Double,
+    /** Prompt tokens to prefill, without those that prefix caches hold. */
+    val prefillTokensPerSecond: Double,
     /** Requests in progress. */
     val active: Double,
 ) {
     /** Number of servers that carry this demand at their planned load; each runs [slots] requests concurrently. */
     public fun serversNeeded(slots: Int): Double = maxOf(
-        promptTokensPerSecond / PROMPT_TOKENS_PER_SERVER_SECOND,
+        prefillTokensPerSecond / PREFILL_TOKENS_PER_SERVER_SECOND,
         active / (slots * PLANNED_SLOT_USE),
         MIN_SERVERS,
     )
 
     private companion object {
         /** Prompt tokens that a server can prefill per second without much delay to its other work. */
-        const val PROMPT_TOKENS_PER_SERVER_SECOND = 55_000.0
+        const val PREFILL_TOKENS_PER_SERVER_SECOND = 34_000.0
         const val PLANNED_SLOT_USE = 0.5
         const val MIN_SERVERS = 2.0
     }
@@ -29,24 +30,24 @@
  * accumulated during the outage.
  */
 public class DemandMeter {
-    private class Sample(val atMillis: Long, val promptTokens: Double, val active: Int)
+    private class Sample(val atMillis: Long, val prefillTokens: Double, val active: Int)
 
     private val samples = ArrayDeque<Sample>()
     private val peaks = ArrayDeque<Pair<Long, ServiceDemand>>()
     private val lastCounts = HashMap<String, Long>()
-    private var totalPromptTokens = 0.0
+    private var totalPrefillTokens = 0.0
     private var firstAddMillis: Long? = null
 
-    /** Adds the counters of prompt tokens, by process name, and the number of requests in progress. */
-    public fun add(promptTokens: Map<String, Long>, active: Int, nowMillis: Long) {
-        for ((process, count) in promptTokens) {
+    /** Adds the counters of tokens to prefill, by process name, and the number of requests in progress. */
+    public fun add(prefillTokens: Map<String, Long>, active: Int, nowMillis: Long) {
+        for ((process, count) in prefillTokens) {
             // The first count of a process may include requests from long ago, so it only sets the baseline.
-            totalPromptTokens += (count - (lastCounts[process] ?: count)).coerceAtLeast(0)
+            totalPrefillTokens += (count - (lastCounts[process] ?: count)).coerceAtLeast(0)
             lastCounts[process] = count
         }
         val firstMillis = firstAddMillis ?: nowMillis.also { firstAddMillis = it }
         if (nowMillis - firstMillis < SETTLE_MILLIS) return
-        addSample(Sample(nowMillis, totalPromptTokens, active))
+        addSample(Sample(nowMillis, totalPrefillTokens, active))
         currentDemand(nowMillis)?.let { peaks.addLast(nowMillis to it) }
         while (peaks.isNotEmpty() && nowMillis - peaks.first().first > PEAK_WINDOW_MILLIS) peaks.removeFirst()
     }
@@ -54,12 +55,12 @@
     /** The demand, or null as long as none has been measured. */
     public fun demand(): ServiceDemand? {
         if (peaks.isEmpty()) return null
-        return ServiceDemand(peaks.maxOf { it.second.promptTokensPerSecond }, peaks.maxOf { it.second.active })
+        return ServiceDemand(peaks.maxOf { it.second.prefillTokensPerSecond }, peaks.maxOf { it.second.active })
     }
 
     private fun addSample(sample: Sample) {
         // The rate is measured from the first request on, not from the start of an idle site.
-        if (samples.size == 1 && samples.first().promptTokens == sample.promptTokens) samples.removeFirst()
+        if (samples.size == 1 && samples.first().prefillTokens == sample.prefillTokens) samples.removeFirst()
         samples.addLast(sample)
         while (samples.size > 1 && sample.atMillis - samples.first().atMillis > RATE_WINDOW_MILLIS) {
             samples.removeFirst()
@@ -69,8 +70,8 @@
     private fun currentDemand(nowMillis: Long): ServiceDemand? {
         val first = samples.first()
         val spanMillis = nowMillis - first.atMillis
-        if (spanMillis < MIN_SPAN_MILLIS || totalPromptTokens == 0.0) return null
-        val rate = (totalPromptTokens - first.promptTokens) / spanMillis * MILLIS_PER_SECOND
+        if (spanMillis < MIN_SPAN_MILLIS || totalPrefillTokens == 0.0) return null
+        val rate = (totalPrefillTokens - first.prefillTokens) / spanMillis * MILLIS_PER_SECOND
         return ServiceDemand(rate, samples.sumOf { it.active }.toDouble() / samples.size)
     }
 
--- a/policy/src/test/kotlin/org/berylpoint/policy/capacity/CapacityPlanTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/capacity/CapacityPlanTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
@@ -87,7 +88,15 @@
                 sum += if (now in 8_000..12_000) 100_000 else 10_000
                 meter.add(mapOf("p" to sum), active = 3, nowMillis = now)
             }
-            meter.demand()!!.promptTokensPerSecond shouldBeGreaterThan 150_000.0
+            meter.demand()!!.prefillTokensPerSecond shouldBeGreaterThan 150_000.0
+        }
+
+        // Guards against servers that are ordered for tokens which prefix caches hold (hrdina-fit, where three quarters
+        // of the prompts are shared).
+        test("long shared prompts: servers are needed for the tokens to prefill, not for all that callers send") {
+            val allTokens = ServiceDemand(prefillTokensPerSecond = 680_000.0, active = 40.0)
+            val ownTokens = ServiceDemand(prefillTokensPerSecond = 190_000.0, active = 40.0)
+            ownTokens.serversNeeded(slots = 128) shouldBeLessThan allTokens.serversNeeded(slots = 128) / 3
         }
 
         // Guards against ordering all available servers after a power loss, when callers send all requests that have
@@ -99,7 +108,7 @@
                 sum += if (now in 500..2_500) 600_000 else 100_000
                 meter.add(mapOf("p" to sum), active = if (now < 3_000) 400 else 40, nowMillis = now)
             }
-            meter.demand()!!.promptTokensPerSecond shouldBe 200_000.0
+            meter.demand()!!.prefillTokensPerSecond shouldBe 200_000.0
             meter.demand()!!.active shouldBe 40.0
         }
 
@@ -109,7 +118,7 @@
                 val own = mapOf("p" to now * 100)
                 meter.add(if (now < 8_000) own else own + ("q" to 50_000_000L), active = 3, nowMillis = now)
             }
-            meter.demand()!!.promptTokensPerSecond shouldBe 100_000.0
+            meter.demand()!!.prefillTokensPerSecond shouldBe 100_000.0
         }
     })
 
