--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerResponseFaultTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerResponseFaultTest.kt
@@ -189,11 +189,7 @@
                     send("HTTP/1.1 200 OK\r\n$ID: first\r\n$headers\r\nok\r\n")
                     Thread.sleep(300)
                 }
-                server.use {
-                    HttpServerClient().use { client ->
-                        runBlocking { bodyOf(client, server, request("first")) shouldBe FAILED }
-                    }
-                }
+                bodyOf(server, request("first")) shouldBe FAILED
             }
         }
 
@@ -204,11 +200,7 @@
                 Thread.sleep(100)
                 reset()
             }
-            server.use {
-                HttpServerClient().use { client ->
-                    runBlocking { bodyOf(client, server, request("first")) shouldBe FAILED }
-                }
-            }
+            bodyOf(server, request("first")) shouldBe FAILED
         }
 
         test("a body without a length that the server closes is complete") {
@@ -216,11 +208,7 @@
                 readRequest()
                 send("HTTP/1.1 200 OK\r\n$ID: first\r\n\r\nwhole")
             }
-            server.use {
-                HttpServerClient().use { client ->
-                    runBlocking { bodyOf(client, server, request("first")) shouldBe "whole" }
-                }
-            }
+            bodyOf(server, request("first")) shouldBe "whole"
         }
 
         test("requests one after another use one connection") {
@@ -278,6 +266,10 @@
         }
     }
 
+/** The complete body of the response to a single [request], or [FAILED]. */
+private fun bodyOf(server: ScriptedTcpServer, request: ServerRequest): String =
+    server.use { HttpServerClient().use { client -> runBlocking { bodyOf(client, server, request) } } }
+
 /** Outcome of a request to a server that sends [start] and then [repeated] until its connection is closed. */
 private fun endlessResponse(start: String, repeated: String, isStream: Boolean): String {
     val server = ScriptedTcpServer {
