Count the time that a report may wait in its age

The age of a report then misses up to 40 ms, in which its sender admits up to 2,000 tokens of that cap; caps estimate from the age what peers admitted since.

Change: the age includes the interval; the test of the ages expects it. A connection's timer ends when it is connected, a closed body without a length is not counted as a fault, and a stream of which nothing waits is read on however much others hold.

Measured: the tests of reports, caps and responses pass.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -4,6 +4,7 @@
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.ProcessPart
+import org.berylpoint.peer.ReportSocket
 import org.berylpoint.policy.duty.medianClockOffset
 
 /**
@@ -122,7 +123,8 @@
     /**
      * Ages in milliseconds of the newest reports of the other instances that report on time, by instance name. Limits
      * that are shared by reports rely on these instances, not on [liveReports]: an instance that is cut off stays live
-     * for the silence timeout, and its counters would be taken to stand still for that long.
+     * for the silence timeout, and its counters would be taken to stand still for that long. An age includes the time
+     * that the report may have waited before it was handled, so that what was admitted since is not underestimated.
      */
     @Synchronized
     public fun freshReportAgesMillis(): Map<String, Long> {
@@ -131,6 +133,7 @@
         return peers.values.filter { it.report != null }
             .associate { it.name to now - it.lastReportAtMillis }
             .filterValues { it <= maxAge }
+            .mapValues { it.value + ReportSocket.RECEIVE_INTERVAL_MILLIS }
     }
 
     /** Number of the other instances known, silent ones included. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ResponseMemory.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ResponseMemory.kt
@@ -33,7 +33,7 @@
 
         /** Whether the response holds more than [limitBytes], or more than is left for all others. */
         @Synchronized
-        fun isOver(limitBytes: Long): Boolean = held > minOf(limitBytes, capacityBytes - used.get())
+        fun isOver(limitBytes: Long): Boolean = held > minOf(limitBytes, capacityBytes - used.get()).coerceAtLeast(0)
 
         @Synchronized
         override fun close() {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerConnection.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerConnection.kt
@@ -30,6 +30,7 @@
 ) : ReadinessHandler {
     private val channel = SocketChannel.open()
     private var key: SelectionKey? = null
+    private var connectTimer: LoopTimer? = null
     private var exchange: HttpServerExchange? = null
     private var writer: RequestWriter? = null
     private var parser: ResponseParser? = null
@@ -65,12 +66,13 @@
     /** Closes the connection at once. The server gets a reset, so it does not take the request for a complete one. */
     fun close() {
         exchange = null
+        connectTimer?.cancel()
         channel.close()
         owner.onClosed(this)
     }
 
     override fun onReady(key: SelectionKey) {
-        if (key.isConnectable && channel.finishConnect()) setInterest(SelectionKey.OP_CONNECT, false)
+        if (key.isConnectable && channel.finishConnect()) onConnected()
         if (key.isValid && key.isWritable) write()
         if (key.isValid && key.isReadable) read()
     }
@@ -101,15 +103,14 @@
         channel.setOption(StandardSocketOptions.SO_LINGER, 0)
         val host = address.substringBeforeLast(':')
         val isConnected = channel.connect(InetSocketAddress(host, address.substringAfterLast(':').toInt()))
-        val operations = if (isConnected) SelectionKey.OP_WRITE else SelectionKey.OP_CONNECT or SelectionKey.OP_WRITE
-        key = loop.register(channel, operations, this)
-        loop.schedule(CONNECT_TIMEOUT) {
-            if (channel.isOpen &&
-                channel.isConnectionPending
-            ) {
-                onFailure(IOException("no connection in $CONNECT_TIMEOUT"))
-            }
-        }
+        key = loop.register(channel, SelectionKey.OP_CONNECT or SelectionKey.OP_WRITE, this)
+        if (isConnected) return onConnected()
+        connectTimer = loop.schedule(CONNECT_TIMEOUT) { onFailure(IOException("no connection in $CONNECT_TIMEOUT")) }
+    }
+
+    private fun onConnected() {
+        connectTimer?.cancel()
+        setInterest(SelectionKey.OP_CONNECT, false)
     }
 
     private fun write() {
@@ -129,7 +130,7 @@
         }
         if (count < 0) parser?.endOfInput() else parser?.parse(input.flip())
         when {
-            parser?.isComplete == true -> end(exchange, hasMore = input.hasRemaining())
+            parser?.isComplete == true -> end(exchange, hasMore = count > 0 && input.hasRemaining())
             exchange.isBacklogged -> pauseReading(exchange)
         }
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/PeerViewTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/PeerViewTest.kt
@@ -8,6 +8,7 @@
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.NodeReportCodec
 import org.berylpoint.peer.ProcessPart
+import org.berylpoint.peer.ReportSocket
 import org.berylpoint.peer.WindowPart
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -80,7 +81,7 @@
             view.peerCount shouldBe 1
             view.accept(report(sequence = 1, admitted = 0.0))
             time += 300.milliseconds
-            view.freshReportAgesMillis() shouldBe mapOf("other" to 300L)
+            view.freshReportAgesMillis() shouldBe mapOf("other" to 300L + ReportSocket.RECEIVE_INTERVAL_MILLIS)
             time += 300.milliseconds
             view.freshReportAgesMillis() shouldBe emptyMap()
             view.peerCount shouldBe 1
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ResponseMemoryTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ResponseMemoryTest.kt
@@ -34,6 +34,13 @@
             }
         }
 
+        // Guards against a stream that is never read on, since nothing of it waits that its caller could take.
+        test("a response that holds nothing is not over its part, however much others hold") {
+            val memory = ResponseMemory(capacityBytes = 1_000)
+            memory.Account().take(2_000)
+            memory.Account().isOver(LIMIT_BYTES) shouldBe false
+        }
+
         test("a closed account gives back all it took, and what is taken later does not count") {
             val memory = ResponseMemory(capacityBytes = 1_000)
             memory.Account().run {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerResponseFaultTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerResponseFaultTest.kt
@@ -1,10 +1,13 @@
 package org.berylpoint.entry.gateway.server
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.model.BackendServerId
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.seconds
 
@@ -203,12 +206,18 @@
             bodyOf(server, request("first")) shouldBe FAILED
         }
 
-        test("a body without a length that the server closes is complete") {
+        test("a body without a length that the server closes is complete and no fault") {
             val server = ScriptedTcpServer {
                 readRequest()
                 send("HTTP/1.1 200 OK\r\n$ID: first\r\n\r\nwhole")
             }
-            bodyOf(server, request("first")) shouldBe "whole"
+            val faults = CopyOnWriteArrayList<ResponseFault>()
+            server.use {
+                HttpServerClient { _, fault -> faults += fault }.use { client ->
+                    runBlocking { bodyOf(client, server, request("first")) shouldBe "whole" }
+                }
+            }
+            faults.shouldBeEmpty()
         }
 
         test("requests one after another use one connection") {
@@ -277,11 +286,13 @@
         send(start)
         sendWithoutEnd(repeated)
     }
+    val faults = CopyOnWriteArrayList<ResponseFault>()
     return server.use {
-        HttpServerClient().use { client ->
+        HttpServerClient { _, fault -> faults += fault }.use { client ->
             val body = runBlocking { bodyOf(client, server, request("first", isStream)) }
             repeat(100) { if (server.ended.get() == 0) Thread.sleep(20) }
             server.ended.get() shouldBe 1
+            faults shouldHaveSize 1
             body
         }
     }
--- a/peer/src/main/kotlin/org/berylpoint/peer/ReportSocket.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/ReportSocket.kt
@@ -66,8 +66,8 @@
     public companion object {
         private const val MAX_DATAGRAM_BYTES = 65_535
 
-        /** Short against the time between two reports of an instance. */
-        private const val RECEIVE_INTERVAL_MILLIS = 40L
+        /** Longest time that a report waits before it is handled; short against the time between two reports. */
+        public const val RECEIVE_INTERVAL_MILLIS: Long = 40
 
         /** Opens the socket on an IP number and port. */
         public fun open(address: String): ReportSocket =
