--- a/policy/src/test/kotlin/org/berylpoint/policy/duty/LeaseClaimTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/duty/LeaseClaimTest.kt
@@ -21,7 +21,7 @@
             third shouldBeGreaterThan second
         }
 
-        // Guards against a fencing token that starts at 1 again, so that orders of an earlier holder outrank later ones.
+        // Guards against tokens that start at 1 again, so that orders of an earlier holder outrank later ones.
         test("an unreadable row is replaced with a higher token than any before") {
             val claim = LeaseClaim(DURATION)
             val last = claim.token(lease(token = 7, revision = 90, expires = 0), 1, 0).shouldNotBeNull()
