--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/GatewayProcessStopTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/GatewayProcessStopTest.kt
@@ -21,14 +21,13 @@
         // Guards against a planned stop that cuts off requests which were just accepted.
         test("a stop under load ends after the answer to the last request that was accepted") {
             SampleSite().use { site ->
-                val (callers, ready, report, metrics) = freePorts()
-                val settings = settings(site, callers, ready, report, metrics)
-                val process = GatewayProcess(settings, System::currentTimeMillis)
+                val ports = Ports.free()
+                val process = GatewayProcess(settings(site, ports), System::currentTimeMillis)
                 process.start()
-                val load = CallerLoad(callers, site)
+                val load = CallerLoad(ports.callers, site)
                 load.awaitAnswers()
                 process.stop()
-                val ended = requestsEnded(metrics)
+                val ended = requestsEnded(ports.metrics)
                 process.close()
                 load.isProcessGone.set(true)
                 load.join()
@@ -91,12 +90,18 @@
     }
 }
 
-private fun freePorts(): List<Int> {
-    val sockets = List(4) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
-    return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+private class Ports(val callers: Int, val ready: Int, val report: Int, val metrics: Int) {
+    companion object {
+        fun free(): Ports {
+            val sockets = List(4) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+            val numbers = sockets.map { it.localPort }
+            sockets.forEach(ServerSocket::close)
+            return Ports(numbers[0], numbers[1], numbers[2], numbers[3])
+        }
+    }
 }
 
-private fun settings(site: SampleSite, callers: Int, ready: Int, report: Int, metrics: Int): GatewaySettings {
+private fun settings(site: SampleSite, ports: Ports): GatewaySettings {
     val file = File.createTempFile("stop-test", ".ini")
     try {
         file.writeText(
@@ -104,10 +109,10 @@
             [instance]
             id = stopping
             failure-domain = sample
-            caller-address = 127.0.0.1:$callers
-            ready-address = 127.0.0.1:$ready
-            report-address = 127.0.0.1:$report
-            metrics-address = 127.0.0.1:$metrics
+            caller-address = 127.0.0.1:${ports.callers}
+            ready-address = 127.0.0.1:${ports.ready}
+            report-address = 127.0.0.1:${ports.report}
+            metrics-address = 127.0.0.1:${ports.metrics}
             grace-seconds = 5
             [platform]
             store-address = ${site.address}
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
@@ -123,7 +123,11 @@
 
     init {
         thread(isDaemon = true) {
-            while (!socket.isClosed) runCatching { socket.accept() }.onSuccess { thread(isDaemon = true) { runCatching { serve(it) } } }
+            while (!socket.isClosed) {
+                runCatching {
+                    socket.accept()
+                }.onSuccess { thread(isDaemon = true) { runCatching { serve(it) } } }
+            }
         }
     }
 
