--- a/entry/src/test/kotlin/org/berylpoint/entry/DerivedTextTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/DerivedTextTest.kt
@@ -26,6 +26,7 @@
                 AttemptEnd.Error(500, emptyList(), ByteArray(0)),
                 AttemptEnd.NotRun(true, ""),
                 AttemptEnd.Interrupted(true, ""),
+                AttemptEnd.Stalled(""),
                 AttemptEnd.TimedOut(true),
                 AttemptEnd.CallerDisconnected,
             )
