Show in logs and metrics when an instance keeps a departed server

An instance that has just failed a call to the store keeps servers whose entries are deleted, but the log named only the moment at which it gave them up, up to 9.2 s later. It now logs the moment at which the entry is first missing, with the age of the failure that made it wait. Two gauges show it without logs: the number of such servers, and the revision of the servers' table that an instance has applied, by which one that is behind can be told.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -32,6 +32,7 @@
 import org.berylpoint.platform.cloud.CloudClient
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
+import org.berylpoint.platform.wire.StoreNames
 import java.net.InetSocketAddress
 import java.nio.channels.ServerSocketChannel
 import kotlin.random.Random
@@ -117,6 +118,12 @@
             (site.view.config?.version ?: -1).toDouble()
         }
         metrics.gauge("berylpoint_servers_known", "Backend servers known.") { site.view.servers.size.toDouble() }
+        metrics.gauge("berylpoint_servers_missing", "Backend servers kept although their entries are missing.") {
+            site.missingServerCount.toDouble()
+        }
+        metrics.gauge("berylpoint_servers_revision", "Revision of the newest change of a server's entry applied.") {
+            (watcher.revisions[StoreNames.SERVERS] ?: 0).toDouble()
+        }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
         watcher.start(scope)
         // Callers wait for the addresses to open, so everything that can start later does.
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -30,6 +30,9 @@
     public var view: SiteView = SiteView()
         private set
 
+    /** Number of servers that are kept although their entries are missing. */
+    public val missingServerCount: Int @Synchronized get() = missingSinceMillis.size
+
     /** Records that a store call has just failed. Entries that are missing after that may only have lapsed. */
     @Synchronized
     public fun recordStoreFailure() {
@@ -175,7 +178,10 @@
     }
 
     private fun handleDeletion(id: BackendServerId) {
-        if (isRecovering()) missingSinceMillis[id] = clocks.steadyMillis else removeServer(id, "its entry was deleted")
+        if (!isRecovering()) return removeServer(id, "its entry was deleted")
+        if (id !in view.servers || missingSinceMillis.put(id, clocks.steadyMillis) != null) return
+        val sinceFailure = clocks.steadyMillis - lastStoreFailureAtMillis
+        log.event("site", "a server's entry is missing", "server" to id.value, "sinceStoreFailure" to sinceFailure)
     }
 
     private fun removeServer(id: BackendServerId, cause: String) {
