Announce deletions that a reload of a table finds

Callers: requests went on to servers that had left, each attempt at a cost of 200 ms or, while the server was still there, against the rule DRAIN.

Cause: instances compare the newest revision among a table's rows to see whether they are behind. When the store has dropped its history, an instance reads the whole table, and a row that was deleted meanwhile shows only by its absence. Its revision is nowhere, so the others noticed nothing until their poll every 10 s.

Change: a reload raises the compared revision to that of the read. A poll that a peer's revision has caused raises it to that revision, so that all agree again. The signal of a peer that is ahead is repeated with each report: it was lost when a feed's answer came within the grace period.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -31,10 +31,15 @@
 ) {
     private var storeRevision = 0L
 
-    /** Unlike [storeRevision], which counts writes to any table, this shows whether a change here is missing. */
+    /**
+     * Revision up to which all changes of this table are applied, for comparison with other instances. Unlike
+     * [storeRevision], which counts writes to any table, it grows only if there may be a change that others lack.
+     */
     @Volatile
     var rowRevision = 0L
+        private set
     private var isLoaded = false
+    private var wasLoaded = false
     private var failures = 0
     private val peerAheadSignal = Channel<Unit>(Channel.CONFLATED)
     private val applyLock = Any()
@@ -50,9 +55,10 @@
         storeRevision = maxOf(storeRevision, rowRevision)
     }
 
-    fun notePeerRevision(newest: Long) {
-        if (newest <= rowRevision || newest <= peerRevision) return
-        peerRevision = newest
+    /** Records that a peer has applied all changes up to [revision]. */
+    fun notePeerRevision(revision: Long) {
+        if (revision <= rowRevision) return
+        peerRevision = maxOf(peerRevision, revision)
         peerAheadSignal.trySend(Unit)
     }
 
@@ -82,8 +88,11 @@
             synchronized(applyLock) {
                 replace(it.rows)
                 advanceRowRevision(it.rows)
+                // A row that was deleted meanwhile shows only by its absence. Peers have to read the table again too.
+                if (wasLoaded) rowRevision = it.revision
                 storeRevision = it.revision
                 isLoaded = true
+                wasLoaded = true
             }
             null
         },
@@ -164,6 +173,8 @@
         synchronized(applyLock) {
             update(rows.rows)
             advanceRowRevision(rows.rows)
+            // The peer is ahead by a reload, not by a row.
+            if (peerRevision in rowRevision..rows.revision) rowRevision = peerRevision
             storeRevision = maxOf(storeRevision, rows.revision)
         }
         if (rows.rows.isNotEmpty() && feedReaders.longPollWait() != null) {
--- /dev/null
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -0,0 +1,85 @@
+package org.berylpoint.entry.gateway.site
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.peers.PeerView
+import org.berylpoint.model.BackendServerId
+import org.berylpoint.model.serving.ServiceName
+import org.berylpoint.peer.NodeReport
+import org.berylpoint.peer.RowsPart
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Instances of two failure domains that follow [tables] and report to each other, in virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class FollowingInstances(private val scope: TestScope, private val tables: FakeTables, perDomain: Int) {
+    /** One instance with what it believes of the site. */
+    inner class Follower(val name: String, val domain: String) {
+        private val clocks = Clocks(scope.testScheduler.timeSource) { scope.currentTime }
+        private val log = DecisionLog()
+        val peers = PeerView(name, clocks, log)
+        val state = SiteState(clocks, log)
+        private val feedReaders = FeedReaderSelection(name, domain, peers, ::forward)
+        val watcher = StoreWatcher(tables.reader(name), state, log, feedReaders)
+        private var sequence = 0L
+
+        val isReader: Boolean get() = feedReaders.longPollWait() != null
+
+        /** Whether a request to [SERVICE] may be sent to the server [id]. */
+        fun uses(id: String) = state.view.usableServers(SERVICE).any { it.entry.id == BackendServerId(id) }
+
+        fun report(rows: RowsPart? = null) = NodeReport(
+            name = name,
+            domain = domain,
+            startedAtMillis = 1,
+            sequence = ++sequence,
+            wallMillis = scope.currentTime,
+            address = name,
+            revisions = watcher.revisions,
+            rows = rows,
+        )
+
+        fun receive(report: NodeReport) {
+            if (peers.accept(report) == null) return
+            report.rows?.let(watcher::applyForwardedRows)
+            watcher.notePeerRevisions(report.revisions)
+        }
+
+        private fun forward(rows: RowsPart) {
+            val report = report(rows)
+            all.filter { it.domain == domain && it !== this }.forEach { it.receive(report) }
+        }
+    }
+
+    val all: List<Follower> = listOf("a", "b").flatMap { domain ->
+        (1..perDomain).map { Follower("$domain$it", domain) }
+    }
+
+    init {
+        for (follower in all) {
+            follower.watcher.start(scope.backgroundScope)
+            scope.backgroundScope.launch { sendReports(follower) }
+        }
+    }
+
+    private suspend fun sendReports(sender: Follower) {
+        while (true) {
+            val report = sender.report()
+            all.filter { it !== sender }.forEach { it.receive(report) }
+            delay(REPORT_INTERVAL)
+        }
+    }
+
+    companion object {
+        val SERVICE = ServiceName("s")
+        private val REPORT_INTERVAL = 100.milliseconds
+
+        fun server(state: String = "ready") =
+            """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":2,"state":"$state",
+                "cold_remaining_ms":0}""".encodeToByteArray()
+    }
+}
