Send no requests to servers whose entries are missing

Callers: an instance that had failed a call to the store went on to use servers that had left.

Cause: within 2.2 s of any failed call, a deletion was put off, since the entries of live servers lapse in an outage of the store and come back. Any failure counted as an outage, and an instance that is turned away fails all the time.

Change: a server whose entry is missing gets no requests any more, unless the entries of most of the service's servers are missing. Servers leave a few at a time; in an outage entries lapse together. The recovery period only decides when it is forgotten.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -119,7 +119,7 @@
         }
         metrics.gauge("berylpoint_servers_known", "Backend servers known.") { site.view.servers.size.toDouble() }
         metrics.gauge("berylpoint_servers_missing", "Backend servers kept although their entries are missing.") {
-            site.missingServerCount.toDouble()
+            site.view.missingServers.size.toDouble()
         }
         metrics.gauge("berylpoint_servers_revision", "Revision of the newest change of a server's entry applied.") {
             (watcher.revisions[StoreNames.SERVERS] ?: 0).toDouble()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -22,17 +22,12 @@
     /** Revisions at which servers left, so that an older row does not bring them back. */
     private val departedRevisions = LinkedHashMap<BackendServerId, Long>()
 
-    /** Servers whose entries have disappeared while the store recovers, with the steady-clock time of that. */
-    private val missingSinceMillis = HashMap<BackendServerId, Long>()
     private var lastStoreFailureAtMillis = Long.MIN_VALUE / 2
 
     @Volatile
     public var view: SiteView = SiteView()
         private set
 
-    /** Number of servers that are kept although their entries are missing. */
-    public val missingServerCount: Int @Synchronized get() = missingSinceMillis.size
-
     /** Records that a store call has just failed. Entries that are missing after that may only have lapsed. */
     @Synchronized
     public fun recordStoreFailure() {
@@ -70,8 +65,8 @@
     /** Removes servers whose entries are still missing when the recovery period after a store failure has passed. */
     @Synchronized
     public fun removeMissingServers() {
-        if (missingSinceMillis.isEmpty() || isRecovering()) return
-        for (id in missingSinceMillis.keys.toList()) removeServer(id, "its entry is missing after the store's recovery")
+        if (view.missingServers.isEmpty() || isRecovering()) return
+        for (id in view.missingServers) removeServer(id, "its entry is missing after the store's recovery")
     }
 
     private fun applyOperatorRow(row: StoreRow) {
@@ -142,7 +137,6 @@
             handleDeletion(id)
             return
         }
-        missingSinceMillis.remove(id)
         val entry = ServerDecoder.server(row.key, row.value)
         if (entry == null) {
             if (current != null) removeServer(id, "its entry is malformed")
@@ -152,6 +146,7 @@
             view.copy(
                 servers = (view.servers + (id to ObservedServer(entry, clocks.steadyMillis, row.revision)))
                     .toPersistentMap(),
+                missingServers = (view.missingServers - id).toPersistentSet(),
             )
         if (isLogged && current?.entry?.copy(coldRemainingMillis = 0) != entry.copy(coldRemainingMillis = 0)) {
             log.event(
@@ -179,15 +174,18 @@
 
     private fun handleDeletion(id: BackendServerId) {
         if (!isRecovering()) return removeServer(id, "its entry was deleted")
-        if (id !in view.servers || missingSinceMillis.put(id, clocks.steadyMillis) != null) return
+        if (id !in view.servers || id in view.missingServers) return
+        view = view.copy(missingServers = (view.missingServers + id).toPersistentSet())
         val sinceFailure = clocks.steadyMillis - lastStoreFailureAtMillis
         log.event("site", "a server's entry is missing", "server" to id.value, "sinceStoreFailure" to sinceFailure)
     }
 
     private fun removeServer(id: BackendServerId, cause: String) {
-        missingSinceMillis.remove(id)
         if (id !in view.servers) return
-        view = view.copy(servers = (view.servers - id).toPersistentMap())
+        view = view.copy(
+            servers = (view.servers - id).toPersistentMap(),
+            missingServers = (view.missingServers - id).toPersistentSet(),
+        )
         log.event("site", "a server is gone", "server" to id.value, "cause" to cause)
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteView.kt
@@ -20,15 +20,24 @@
     val servers: PersistentMap<BackendServerId, ObservedServer> = persistentMapOf(),
     val outOfServiceDomains: PersistentSet<FailureDomain> = persistentSetOf(),
     val rollouts: PersistentMap<ServiceName, RolloutOrder> = persistentMapOf(),
+    /** Servers whose entries are missing, which may have left or may only have lapsed in an outage of the store. */
+    val missingServers: PersistentSet<BackendServerId> = persistentSetOf(),
     /** Whether all server entries were read at least once. */
     val hasLoadedServers: Boolean = false,
 ) {
     /** Whether the configuration and the server entries have been loaded, so that requests can be served. */
     public val canServe: Boolean get() = config != null && hasLoadedServers
 
-    /** Servers of [service] that may receive new requests. */
-    public fun usableServers(service: ServiceName): List<ObservedServer> = servers.values.filter {
-        it.entry.service == service && !it.entry.isDraining && it.entry.domain !in outOfServiceDomains
+    /**
+     * Servers of [service] that may receive new requests. Servers leave a few at a time, so those whose entries are
+     * missing are included only if they are most of the service: the entries have lapsed then.
+     */
+    public fun usableServers(service: ServiceName): List<ObservedServer> {
+        val active = servers.values.filter {
+            it.entry.service == service && !it.entry.isDraining && it.entry.domain !in outOfServiceDomains
+        }
+        val present = active.filterNot { it.entry.id in missingServers }
+        return if (present.size * 2 >= active.size) present else active
     }
 }
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/SiteStateTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/SiteStateTest.kt
@@ -5,6 +5,7 @@
 import org.berylpoint.entry.gateway.Clocks
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.model.FailureDomain
+import org.berylpoint.model.serving.ServiceName
 import org.berylpoint.platform.store.StoreRow
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
@@ -37,6 +38,31 @@
             state.view.servers.size shouldBe 0
         }
 
+        // Guards against requests to a departed server (DRAIN): one failed call made an instance keep it in use for the
+        // whole recovery period, and an instance that the store turned away kept it in use for as long as that lasted.
+        test("a server that leaves right after a failed store call gets no new requests") {
+            val (state, time) = createState()
+            state.replaceServerRows(listOf(server("a", 1), server("b", 2), server("c", 3)))
+            state.recordStoreFailure()
+            time += 300.milliseconds
+            state.updateServerRows(listOf(StoreRow("servers", "b", ByteArray(0), 8, isDeleted = true)))
+            usableServers(state) shouldBe listOf("a", "c")
+        }
+
+        // Guards against refusals after an outage of the store in which the entries of live servers lapse.
+        test("servers stay in use while the entries of most of them have lapsed in an outage") {
+            val (state, time) = createState()
+            state.replaceServerRows(listOf(server("a", 1), server("b", 2), server("c", 3)))
+            state.recordStoreFailure()
+            state.replaceServerRows(listOf(server("c", 3)))
+            usableServers(state) shouldBe listOf("a", "b", "c")
+            state.updateServerRows(listOf(server("a", 9)))
+            usableServers(state) shouldBe listOf("a", "c")
+            time += 2_500.milliseconds
+            state.removeMissingServers()
+            state.view.servers.keys.map { it.value }.sorted() shouldBe listOf("a", "c")
+        }
+
         test("an entry that is written again within the store's recovery period is kept") {
             val (state, time) = createState()
             state.replaceServerRows(listOf(server("a", 5)))
@@ -115,6 +141,9 @@
     return StoreRow("op", "config", text.encodeToByteArray(), revision)
 }
 
+private fun usableServers(state: SiteState) =
+    state.view.usableServers(ServiceName("s")).map { it.entry.id.value }.sorted()
+
 private fun server(id: String, revision: Long) = StoreRow("servers", id, SERVER.encodeToByteArray(), revision)
 
 private const val SERVER = """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":2,
