Bring instances that the store turns away up to date through peers

Callers: requests went to draining servers from instances that the store refused for seconds.

Cause: rows are forwarded within a failure domain by one instance. If the store turns away just that one, or all of the domain, nobody forwards to them; and a datagram that is lost is made up for by a poll, which the store refuses. The rule DRAIN holds for such an instance: the store counts as stable, and the instance as in touch.

Change: a report says whether the store serves its sender. What was forwarded once is kept in memory only; an instance that is turned away before it has loaded the tables stays not ready, as before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -216,6 +216,9 @@
         counts.mergeReport(report)
         report.rows?.let(watcher::applyForwardedRows)
         watcher.notePeerRevisions(report.revisions)
+        if (report.isCutOffFromStore && feedReaders.isHelperOf(report.name)) {
+            watcher.changesAfter(report.revisions).forEach { reportExchange.sendRows(it, report.address) }
+        }
     }
 
     private fun ownReport(): NodeReport = buildReport(lastSequence)
@@ -235,6 +238,7 @@
             address = settings.reportAddress.toString(),
             revisions = watcher.revisions,
             unheard = peers.usageOfSilentProcesses(),
+            isCutOffFromStore = watcher.isCutOff,
         )
         return counts.addTo(base)
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -46,6 +46,11 @@
         socket?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), view.liveAddressesIn(domain))
     }
 
+    /** Sends changed rows to the instance that receives reports at [peerAddress]. */
+    fun sendRows(rows: RowsPart, peerAddress: String) {
+        socket?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), listOf(peerAddress))
+    }
+
     /** Opens the socket, then registers, sends and receives in [scope] until it ends. */
     fun start(scope: CoroutineScope) {
         val socket = ReportSocket.open(address)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -15,7 +15,8 @@
  * Keeps [state] up to date with the store.
  *
  * In each failure domain one instance reads the tables' feeds and forwards changed rows to the others. These poll the
- * store themselves when a peer has applied a newer row than they have, and at a long interval in any case.
+ * store themselves when a peer has applied a newer row than they have, and at a long interval in any case. An instance
+ * that the store does not serve gets what it lacks from a peer, again and again until its reports show that it has it.
  */
 public class StoreWatcher(
     private val store: TableReader,
@@ -23,12 +24,16 @@
     private val log: DecisionLog,
     private val feedReaders: FeedReaderSelection,
 ) {
+    private val feeds: List<TableFeed> get() = listOf(operatorFeed, serverFeed)
     private val operatorFeed = feed(StoreNames.OPERATORS, state::replaceOperatorRows, state::updateOperatorRows)
     private val serverFeed = feed(StoreNames.SERVERS, state::replaceServerRows, state::updateServerRows)
 
     /** Revision of the newest row applied, by table. */
     public val revisions: Map<String, Long>
-        get() = mapOf(operatorFeed.table to operatorFeed.rowRevision, serverFeed.table to serverFeed.rowRevision)
+        get() = feeds.associate { it.table to it.rowRevision }
+
+    /** Whether the store does not serve this instance, so that it depends on its peers for changes. */
+    public val isCutOff: Boolean get() = feeds.any { it.isCutOff }
 
     /** Runs until [scope] ends. */
     public fun start(scope: CoroutineScope): Job = scope.launch {
@@ -44,15 +49,18 @@
 
     /** Records the revisions that a peer has applied, by table; a table that stays behind them is polled. */
     public fun notePeerRevisions(revisions: Map<String, Long>) {
-        for (feed in listOf(operatorFeed, serverFeed)) feed.notePeerRevision(revisions[feed.table] ?: 0)
+        for (feed in feeds) feed.notePeerRevision(revisions[feed.table] ?: 0)
     }
 
-    /** Applies rows that the feed reader of this failure domain forwarded. */
+    /** Applies rows that a peer forwarded. */
     public fun applyForwardedRows(part: RowsPart) {
-        val feed = listOf(operatorFeed, serverFeed).firstOrNull { it.table == part.table } ?: return
-        feed.applyForwarded(part)
+        feeds.firstOrNull { it.table == part.table }?.applyForwarded(part)
     }
 
+    /** The changes that a peer lacks which has applied those up to [revisions], by table; none if they are not known. */
+    public fun changesAfter(revisions: Map<String, Long>): List<RowsPart> =
+        feeds.mapNotNull { it.changesAfter(revisions[it.table] ?: 0) }
+
     private fun feed(table: String, replace: (List<StoreRow>) -> Unit, update: (List<StoreRow>) -> Unit) =
         TableFeed(table, store, feedReaders, log, replace, update, state::recordStoreFailure)
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -40,7 +40,10 @@
         private set
     private var isLoaded = false
     private var wasLoaded = false
+
+    @Volatile
     private var failures = 0
+    private val recentRows = RecentRows()
     private val peerAheadSignal = Channel<Unit>(Channel.CONFLATED)
     private val applyLock = Any()
 
@@ -50,11 +53,22 @@
     fun applyForwarded(part: RowsPart) = synchronized(applyLock) {
         if (!isLoaded || rowRevision < part.after) return
         val rows = part.rows.map { StoreRow(table, it.key, it.value, it.revision, it.isDeleted) }
-        update(rows.filter { it.revision > rowRevision })
+            .filter { it.revision > rowRevision }
+        update(rows)
+        recentRows.add(rows)
         advanceRowRevision(rows)
         storeRevision = maxOf(storeRevision, rowRevision)
     }
 
+    /** Whether the store has not served the last calls, so that changes can only come from peers. */
+    val isCutOff: Boolean get() = failures >= CUT_OFF_FAILURES
+
+    /** The changes that a peer lacks which has applied all up to [revision]; null if there are none or they are gone. */
+    fun changesAfter(revision: Long): RowsPart? = synchronized(applyLock) {
+        val rows = recentRows.after(revision) ?: return null
+        RowsPart(table, revision, rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) })
+    }
+
     /** Records that a peer has applied all changes up to [revision]. */
     fun notePeerRevision(revision: Long) {
         if (revision <= rowRevision) return
@@ -91,6 +105,7 @@
                 // A row that was deleted meanwhile shows only by its absence. Peers have to read the table again too.
                 if (wasLoaded) rowRevision = it.revision
                 storeRevision = it.revision
+                recentRows.restart(it.revision)
                 isLoaded = true
                 wasLoaded = true
             }
@@ -172,6 +187,7 @@
         val previousRowRevision = rowRevision
         synchronized(applyLock) {
             update(rows.rows)
+            recentRows.add(rows.rows.filter { it.revision > rowRevision })
             advanceRowRevision(rows.rows)
             // The peer is ahead by a reload, not by a row.
             if (peerRevision in rowRevision..rows.revision) rowRevision = peerRevision
@@ -190,6 +206,9 @@
         /** Retries are delayed by [RETRY_DELAY] times the number of failures in a row, up to this number. */
         const val MAX_RETRY_DELAY_FACTOR = 5
 
+        /** Failed calls in a row after which the store is taken not to serve this instance. */
+        const val CUT_OFF_FAILURES = 2
+
         /** Time that a feed may stay behind a peer before it is taken to have gone silent. */
         val LAG_GRACE_PERIOD = 250.milliseconds
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -41,12 +41,17 @@
             address = name,
             revisions = watcher.revisions,
             rows = rows,
+            isCutOffFromStore = watcher.isCutOff,
         )
 
         fun receive(report: NodeReport) {
             if (peers.accept(report) == null) return
             report.rows?.let(watcher::applyForwardedRows)
             watcher.notePeerRevisions(report.revisions)
+            if (!report.isCutOffFromStore || !feedReaders.isHelperOf(report.name)) return
+            watcher.changesAfter(report.revisions).forEach { rows ->
+                all.first { it.name == report.name }.receive(report(rows))
+            }
         }
 
         private fun forward(rows: RowsPart) {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -48,6 +48,47 @@
                 instances.all.filter { it.uses("s1") }.map { it.name } shouldBe emptyList()
             }
         }
+
+        // Guards against requests to a departed server (DRAIN): an instance that the store turned away while it read the
+        // feeds for its failure domain learned of a departure only when the store served it again.
+        test("instances that the store turns away learn of departures from their peers") {
+            runTest {
+                val tables = FakeTables(this)
+                repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
+                val instances = FollowingInstances(this, tables, perDomain = 2)
+                delay(3.seconds)
+                tables.rejected += instances.all.filter { it.domain == "a" }.map { it.name }
+                delay(1.seconds)
+                tables.put("servers", "s1", FollowingInstances.server(state = "draining"))
+                delay(1.seconds)
+                tables.delete("servers", "s2")
+                delay(1.seconds)
+                instances.all.filter { it.uses("s1") || it.uses("s2") }.map { it.name } shouldBe emptyList()
+                tables.rejected.clear()
+                tables.put("servers", "s1", FollowingInstances.server())
+                delay(2.seconds)
+                instances.all.count { it.uses("s1") } shouldBe 4
+            }
+        }
+
+        // Guards against changes that are lost with one datagram while the store turns the instance away.
+        test("what a peer can't read from the store is sent again until its report shows it") {
+            runTest {
+                val tables = FakeTables(this)
+                tables.put("servers", "s1", FollowingInstances.server())
+                val instance = FollowingInstances(this, tables, perDomain = 1).all.first()
+                delay(1.seconds)
+                val before = instance.watcher.revisions
+                tables.delete("servers", "s1")
+                delay(1.seconds)
+                repeat(2) {
+                    val part = instance.watcher.changesAfter(before).single()
+                    part.rows.map { it.key to it.isDeleted } shouldBe listOf("s1" to true)
+                }
+                instance.watcher.changesAfter(instance.watcher.revisions) shouldBe emptyList()
+                instance.watcher.changesAfter(emptyMap()) shouldBe emptyList()
+            }
+        }
     })
 
 /** Time from the confirmation of a departure in which servers still take requests. */
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -44,6 +44,8 @@
     @CborLabel(18) val windowTotals: Map<String, Double> = emptyMap(),
     /** Usage of processes that the sender does not hear any more; for new processes. */
     @CborLabel(19) val unheard: List<ProcessPart> = emptyList(),
+    /** Whether the store does not serve the sender, which then depends on its peers for changed rows. */
+    @CborLabel(20) val isCutOffFromStore: Boolean = false,
 )
 
 /** What one process counted for [NodeReport.usage] when it was heard last. */
--- a/peer/src/test/kotlin/org/berylpoint/peer/WireFormatTest.kt
+++ b/peer/src/test/kotlin/org/berylpoint/peer/WireFormatTest.kt
@@ -60,9 +60,10 @@
             }
         }
 
-        test("a node report is read and written as before") {
-            val bytes = samples("report").getValue("report")
-            NodeReportCodec.encode(NodeReportCodec.decode(bytes.hexToByteArray())).toHexString() shouldBe bytes
+        samples("report").forEach { (key, bytes) ->
+            test("node $key is read and written as before") {
+                NodeReportCodec.encode(NodeReportCodec.decode(bytes.hexToByteArray())).toHexString() shouldBe bytes
+            }
         }
 
         test("every frame, message and constant has a sample") {
