Name the shared parts of the prompt where an attempt fails

A crash of a server could not be related afterwards to what the prompts that it ran have in common. The parts are parsed once, into PromptPart, also where a request declares no token counts.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
@@ -45,6 +45,7 @@
         ensure(isForwardable(caller)) {
             Refusal(ErrorKind.MalformedRequest, "the target or the body can't be forwarded unchanged")
         }
+        val sharedParts = PromptPart.sharedIn(caller)
         AdmittedRequest(
             id = id,
             caller = caller,
@@ -53,7 +54,8 @@
             workspace = workspace,
             arrivedAtMillis = arrivedAtMillis,
             deadlineMillis = arrivedAtMillis + timeoutMillis(caller, route),
-            tokens = DeclaredTokens.of(caller),
+            tokens = DeclaredTokens.of(caller, sharedParts),
+            sharedParts = sharedParts,
         )
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AdmittedRequest.kt
@@ -21,6 +21,8 @@
     /** The earlier of the caller's deadline and the route's timeout. */
     val deadlineMillis: Long,
     val tokens: DeclaredTokens?,
+    /** The parts of the prompt that other requests may have too. */
+    val sharedParts: List<PromptPart> = emptyList(),
 ) {
     val isStream: Boolean get() = route.retrySafety == RetrySafety.STREAM
     val demand: PlacementRequest = PlacementRequest(
@@ -76,14 +78,11 @@
 
     companion object {
         /** Parses the token headers of [request]; null if the counts are missing or malformed. */
-        fun of(request: CallerRequest): DeclaredTokens? {
+        fun of(request: CallerRequest, sharedParts: List<PromptPart>): DeclaredTokens? {
             val numbers = request.header(RequestHeaders.TOKENS)?.split(',')?.mapNotNull { it.trim().toLongOrNull() }
             if (numbers == null || numbers.size != 2) return null
-            val parts = request.header(RequestHeaders.PROMPT_PARTS).orEmpty().split(',').map { it.trim() }
-            // The last part is specific to this request; only the parts before it can be cached by another one.
-            val prefix = parts.dropLast(1).filter { ':' in it }
-            val prefixTokens = prefix.sumOf { it.substringAfterLast(':').toLongOrNull() ?: 0 }
-            val key = prefix.lastOrNull()?.substringBeforeLast(':')
+            val prefixTokens = sharedParts.sumOf { it.tokens }
+            val key = sharedParts.lastOrNull()?.id
             return DeclaredTokens(numbers[0], numbers[1], key, prefixTokens.coerceAtMost(numbers[0]))
         }
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -139,6 +139,7 @@
             "sends" to sends,
             "lastEvent" to progress.lastEventId, "expected" to reservation.expectedMillis.toLong(),
             "sentAfter" to reservation.reservedAtMillis - request.arrivedAtMillis,
+            "parts" to request.sharedParts.joinToString(",") { it.id },
         )
         flow.metrics.attemptFailed(end.metricLabel)
     }
