Quarantine prompt parts that crash servers

Callers: streams were broken off and connections refused, since one part of the prompts of drift-report crashed the servers one after the other.

Cause: crashes were counted by a hash of path, workspace and body. No two of these requests are alike, so nothing related their crashes, and each crashed as many servers as its route has attempts.

Change: a connection that is lost before a response begins counts, once for each server process, against every part of the prompt but the last. A completed request refutes the suspicion of its parts, since a deadly part crashes every server that begins to answer it, and a later response of the process refutes the crash. Instances merge their suspicions by union from their reports. The refusal is a 503 with Retry-After for requests that have not run, 502 for others, and does not count as a lack of servers.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -18,6 +18,7 @@
 import org.berylpoint.entry.gateway.duty.DutyLeaseManager
 import org.berylpoint.entry.gateway.duty.RolloutDuty
 import org.berylpoint.entry.gateway.duty.UsageDuty
+import org.berylpoint.entry.gateway.flow.PromptQuarantine
 import org.berylpoint.entry.gateway.flow.RequestFlow
 import org.berylpoint.entry.gateway.flow.SharedCounts
 import org.berylpoint.entry.gateway.peers.PeerReportExchange
@@ -59,13 +60,15 @@
     private val site = SiteState(clocks, log)
     private val peers = PeerView(settings.instance, clocks, log)
     private val counts = SharedCounts(clocks, peers, settings.bounds)
+    private val quarantine = PromptQuarantine(settings.instance, clocks, peers, log)
     private val rollouts = RolloutDuty(store, site, peers, clocks, log, random, ::ownReport)
     private val client = HttpServerClient { address, fault ->
         metrics.responseFault(fault.label)
         log.event("server", "bytes that are no valid response", "address" to address, "fault" to fault.label)
     }
     private val pool = ServerPool(settings.instance, settings.failureDomain, clocks, site, peers, rollouts, random)
-    private val flow = RequestFlow(clocks, site, pool, client, counts, log, metrics, random) { refusesRequests }
+    private val flow =
+        RequestFlow(clocks, site, pool, client, counts, quarantine, log, metrics, random) { refusesRequests }
     private val leaseManager = DutyLeaseManager(
         settings.instance,
         store,
@@ -124,6 +127,9 @@
         metrics.gauge("berylpoint_servers_revision", "Revision of the newest change of a server's entry applied.") {
             (watcher.revisions[StoreNames.SERVERS] ?: 0).toDouble()
         }
+        metrics.gauge("berylpoint_quarantined_parts", "Prompt parts for which requests are refused.") {
+            quarantine.size.toDouble()
+        }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
         watcher.start(scope)
         // Callers wait for the addresses to open, so everything that can start later does.
@@ -214,6 +220,7 @@
 
     private fun onReport(report: NodeReport) {
         counts.mergeReport(report)
+        quarantine.mergeReport(report)
         report.rows?.let(watcher::applyForwardedRows)
         watcher.notePeerRevisions(report.revisions)
         if (report.isCutOffFromStore && feedReaders.isHelperOf(report.name)) {
@@ -240,7 +247,7 @@
             unheard = peers.usageOfSilentProcesses(),
             isCutOffFromStore = watcher.isCutOff,
         )
-        return counts.addTo(base)
+        return quarantine.addTo(counts.addTo(base))
     }
 
     private fun dump(): String = buildJsonObject {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
@@ -14,6 +14,7 @@
     val pool: ServerPool,
     val client: ServerClient,
     val counts: SharedCounts,
+    val quarantine: PromptQuarantine,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val admission: Admission,
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/PromptPart.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/PromptPart.kt
@@ -12,8 +12,10 @@
             return parts.dropLast(1).filter { ':' in it }.take(MAX_PARTS).map(::parse)
         }
 
-        private fun parse(text: String) =
-            PromptPart(text.substringBeforeLast(':'), text.substringAfterLast(':').toLongOrNull() ?: 0)
+        private fun parse(text: String) = PromptPart(
+            text.substringBeforeLast(':'),
+            text.substringAfterLast(':').toLongOrNull()?.coerceAtLeast(0) ?: 0,
+        )
 
         /** A prompt with more parts is treated as if it ended there. */
         private const val MAX_PARTS = 64
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -38,13 +38,10 @@
     suspend fun run() {
         val crashes = counts.crashCount(request.fingerprint)
         if (crashes >= MAX_CRASHES) {
-            refuseUnrun(
-                ErrorKind.NoCapacity,
-                "$crashes connections to servers were lost during this request",
-                QUARANTINE_RETRY_AFTER_MILLIS,
-            )
+            refuseQuarantined("$crashes connections to servers were lost during this request")
             return
         }
+        if (refuseIfQuarantined()) return
         flow.admission.charge(request)?.let {
             flow.refuse(exchange, request.id, it, request.arrivedAtMillis)
             return
@@ -55,9 +52,20 @@
             request.tokens?.ownTokens ?: 0,
             request.tokens?.outputTokens ?: 0,
         )
-        while (attempt()) Unit
+        while (attempt()) if (refuseIfQuarantined()) return
     }
 
+    /** Refuses a request whose prompt has a part that crashes servers, also before a further attempt. */
+    private fun refuseIfQuarantined(): Boolean {
+        val part = flow.quarantine.partOf(request) ?: return false
+        lastFailure = "part $part of the prompt crashes servers"
+        if (runs > 0) failRequest(ErrorKind.BackendFailed) else refuseQuarantined(lastFailure)
+        return true
+    }
+
+    private fun refuseQuarantined(cause: String) =
+        refuseUnrun(Refusal(ErrorKind.NoCapacity, cause, QUARANTINE_RETRY_AFTER_MILLIS))
+
     /** Makes one attempt; true if another one has to follow. */
     private suspend fun attempt(): Boolean {
         val reservation = awaitReservation() ?: return false
@@ -87,6 +95,7 @@
 
     private fun onStarted(reservation: ServerReservation) {
         pool.markStarted(reservation)
+        flow.quarantine.recordResponse(reservation.server)
         progress.firstEventMillis = progress.firstEventMillis ?: (clocks.steadyMillis - request.arrivedAtMillis)
         countUsage()
     }
@@ -103,7 +112,7 @@
         if (end !is AttemptEnd.Complete) recordFailure(reservation, end)
         return when (end) {
             is AttemptEnd.Interrupted -> {
-                if (end.isConnectionLost) counts.countCrash(request.fingerprint)
+                if (end.isConnectionLost) recordLoss(reservation, end)
                 retryOrFail()
             }
             is AttemptEnd.Stalled -> true
@@ -116,12 +125,18 @@
             is AttemptEnd.CallerDisconnected -> throw IOException("the caller disconnected")
             is AttemptEnd.Complete -> {
                 counts.countCompleted(request.fingerprint)
+                flow.quarantine.recordCompletion(request)
                 served(reservation, end)
                 false
             }
         }
     }
 
+    private fun recordLoss(reservation: ServerReservation, end: AttemptEnd.Interrupted) {
+        counts.countCrash(request.fingerprint)
+        if (!end.hadBegun) flow.quarantine.recordLoss(request, reservation.server)
+    }
+
     private fun count(reservation: ServerReservation, end: AttemptEnd) {
         if (end is AttemptEnd.NotRun && !end.reachedServer) unsent++ else sends++
         if (end is AttemptEnd.NotRun) return
@@ -168,7 +183,7 @@
         if (mayResend && (!end.reachedServer || counts.tryRetry(request.service.name))) return true
         when {
             runs > 0 -> failRequest(ErrorKind.BackendFailed)
-            else -> refuseUnrun(ErrorKind.NoCapacity, end.toString(), NOT_RUN_RETRY_AFTER_MILLIS)
+            else -> refuseForCapacity(end.toString(), NOT_RUN_RETRY_AFTER_MILLIS)
         }
         return false
     }
@@ -194,11 +209,16 @@
         }
     }
 
-    /** Refuses a request that did not run, refunds its charge, and counts it as refused for lack of servers. */
-    private fun refuseUnrun(kind: ErrorKind, cause: String, retryAfterMillis: Long) {
+    /** Refuses a request that did not run for lack of servers. */
+    private fun refuseForCapacity(cause: String, retryAfterMillis: Long) {
         counts.countNoCapacity(request.service.name)
+        refuseUnrun(Refusal(ErrorKind.NoCapacity, cause, retryAfterMillis))
+    }
+
+    /** Refuses a request that did not run, and refunds its charge. */
+    private fun refuseUnrun(refusal: Refusal) {
         if (isCharged) request.workspace?.let { counts.refund(it, request.capCost) }
-        flow.refuse(exchange, request.id, Refusal(kind, cause, retryAfterMillis), request.arrivedAtMillis)
+        flow.refuse(exchange, request.id, refusal, request.arrivedAtMillis)
     }
 
     /**
@@ -220,7 +240,7 @@
                     failRequest(ErrorKind.BackendFailed)
                 } else {
                     val target = request.route.targetLatencyMillis
-                    refuseUnrun(ErrorKind.NoCapacity, "no server can start the request within $target ms", wait)
+                    refuseForCapacity("no server can start the request within $target ms", wait)
                 }
                 return null
             }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -22,6 +22,7 @@
     pool: ServerPool,
     client: ServerClient,
     counts: SharedCounts,
+    quarantine: PromptQuarantine,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     random: Random,
@@ -29,7 +30,7 @@
     private val isLeaving: () -> Boolean = { false },
 ) {
     private val context =
-        FlowContext(clocks, pool, client, counts, log, metrics, Admission(site, counts, random))
+        FlowContext(clocks, pool, client, counts, quarantine, log, metrics, Admission(site, counts, random))
     private val inFlightCount = AtomicInteger()
 
     /** Requests in progress. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -49,8 +49,11 @@
         override fun toString() = "not run: $cause"
     }
 
-    /** The response is incomplete or did not come, and the request may have run. */
-    class Interrupted(val isConnectionLost: Boolean, val cause: String) : AttemptEnd {
+    /**
+     * The response is incomplete or did not come, and the request may have run. [hadBegun] if more of the response came
+     * than a server may send before the request crashes it.
+     */
+    class Interrupted(val isConnectionLost: Boolean, val hadBegun: Boolean, val cause: String) : AttemptEnd {
         override val metricLabel get() = "Broke"
 
         override fun toString() = "broken: $cause"
@@ -93,6 +96,7 @@
     private var lastProgressAtMillis = clocks.steadyMillis
     private var hasStarted = false
     private var hasPartialEvent = false
+    private var eventCount = 0
 
     /** Runs the attempt and calls [onStarted] at the first sign that the server runs it. */
     suspend fun run(onStarted: () -> Unit): AttemptEnd {
@@ -141,6 +145,7 @@
         }
         if (isDuplicate(event)) return
         recordProgress()
+        eventCount++
         if (!progress.isResponseStarted) {
             progress.isResponseStarted = true
             exchange.startResponse(head.status, head.headers)
@@ -166,12 +171,12 @@
     }
 
     private fun completion(): AttemptEnd {
-        val head = head ?: return AttemptEnd.Interrupted(true, "the response ended without a status line")
+        val head = head ?: return interrupted("the response ended without a status line")
         if (head.isNotRun) return AttemptEnd.NotRun(true, "status ${head.status}")
         return when {
             isEventStream(head) && !progress.isResponseStarted ->
-                AttemptEnd.Interrupted(false, "a stream without events")
-            hasPartialEvent -> AttemptEnd.Interrupted(true, "a stream that ends within an event")
+                AttemptEnd.Interrupted(false, false, "a stream without events")
+            hasPartialEvent -> interrupted("a stream that ends within an event")
             isServerFailure(head.status) -> AttemptEnd.Error(head.status, head.headers, body)
             else -> AttemptEnd.Complete(head.status, head.headers, body)
         }
@@ -182,9 +187,11 @@
     private fun failure(event: ServerEvent.Failed): AttemptEnd {
         if (!event.isSent) return AttemptEnd.NotRun(false, event.cause)
         if (head?.isNotRun == true) return AttemptEnd.NotRun(true, "status ${head?.status}, then ${event.cause}")
-        return AttemptEnd.Interrupted(true, event.cause)
+        return interrupted(event.cause)
     }
 
+    private fun interrupted(cause: String) = AttemptEnd.Interrupted(true, eventCount > MAX_EVENTS_BEFORE_CRASH, cause)
+
     private fun markStarted(onStarted: () -> Unit) {
         if (hasStarted) return
         hasStarted = true
@@ -221,6 +228,9 @@
 
         /** Silence allowed before that, in multiples of the target latency, in addition to the expected delay. */
         const val MAX_SILENT_TARGETS = 2
+
+        /** Events that a server may have sent when it crashes at the beginning of a response. */
+        const val MAX_EVENTS_BEFORE_CRASH = 2
         const val OK = 200
         const val MIN_SERVER_ERROR = 500
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/DerivedTextTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/DerivedTextTest.kt
@@ -25,7 +25,7 @@
                 AttemptEnd.Complete(200, emptyList(), ByteArray(0)),
                 AttemptEnd.Error(500, emptyList(), ByteArray(0)),
                 AttemptEnd.NotRun(true, ""),
-                AttemptEnd.Interrupted(true, ""),
+                AttemptEnd.Interrupted(true, false, ""),
                 AttemptEnd.Stalled(""),
                 AttemptEnd.TimedOut(true),
                 AttemptEnd.CallerDisconnected,
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -50,18 +50,38 @@
     /** Scripts for the next sends, in order; the last one is repeated. */
     val scripts = ArrayDeque<List<ScriptedEvent>>()
 
+    /** Selects the script of a send by the request, instead of [scripts]. */
+    var scriptFor: ((ServerRequest) -> List<ScriptedEvent>)? = null
+
     private val client = ServerClient { id, _, request ->
         sent += id.value to request
-        ScriptedExchange(id, if (scripts.size > 1) scripts.removeFirst() else scripts.first())
+        ScriptedExchange(id, scriptFor?.invoke(request) ?: nextScript())
     }
-    val flow =
-        RequestFlow(clocks, site, pool, client, counts, log, GatewayMetrics(PrometheusRegistry()), random) { isLeaving }
+
+    private fun nextScript() = if (scripts.size > 1) scripts.removeFirst() else scripts.first()
+
+    val quarantine = PromptQuarantine("self", clocks, peers, log)
+    val flow = RequestFlow(
+        clocks,
+        site,
+        pool,
+        client,
+        counts,
+        quarantine,
+        log,
+        GatewayMetrics(PrometheusRegistry()),
+        random,
+    ) { isLeaving }
 
     init {
         if (isConfigured) configure()
         site.replaceServerRows((1..servers).map { StoreRow("servers", "s$it", entry("10.0.0.$it:80", slots), it + 1L) })
     }
 
+    /** Lets a server that has crashed start again, under the id that it had. */
+    fun restart(id: String, revision: Long) =
+        site.updateServerRows(listOf(StoreRow("servers", id, entry("10.0.0.9:80", startedAt = revision), revision)))
+
     fun configure() = site.replaceOperatorRows(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
 
     /** Tokens to prefill that count as demand so far. */
@@ -117,9 +137,10 @@
             extra: String = "",
             service: String = "plain",
             coldMillis: Long = 0,
+            startedAt: Long = 7,
         ) = (
             """{"service":"$service","address":"$address","zone":"a","version":"v1","slots":$slots,""" +
-                """"state":"$state","cold_remaining_ms":$coldMillis,"sequence":1,"born":7$extra}"""
+                """"state":"$state","cold_remaining_ms":$coldMillis,"sequence":1,"born":$startedAt$extra}"""
             ).encodeToByteArray()
     }
 }
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -46,6 +46,8 @@
     @CborLabel(19) val unheard: List<ProcessPart> = emptyList(),
     /** Whether the store does not serve the sender, which then depends on its peers for changed rows. */
     @CborLabel(20) val isCutOffFromStore: Boolean = false,
+    /** What all requests have in common that seem to have crashed servers. */
+    @CborLabel(21) val suspects: List<SuspectPart> = emptyList(),
 )
 
 /** What one process counted for [NodeReport.usage] when it was heard last. */
@@ -104,6 +106,18 @@
     @CborLabel(4) val refused: Long,
 )
 
+/** A part of prompts, with the server processes that seem to have crashed during requests with it. */
+@Serializable
+public data class SuspectPart(@CborLabel(1) val part: String, @CborLabel(2) val crashes: List<CrashPart>)
+
+/** A server process that seems to have crashed [ageMillis] before the report; refuted if it turned out otherwise. */
+@Serializable
+public data class CrashPart(
+    @CborLabel(1) val process: String,
+    @CborLabel(2) val ageMillis: Long,
+    @CborLabel(3) val isRefuted: Boolean = false,
+)
+
 /** Codec of [NodeReport]; integer labels keep a report within one packet. */
 public object NodeReportCodec {
     private val cbor = Cbor {
