Let peers help an instance after its first failed store call

A report now says so from the first failed call; a peer only sends what the reports show to be missing, so a short failure costs nothing.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -60,8 +60,8 @@
         storeRevision = maxOf(storeRevision, rowRevision)
     }
 
-    /** Whether the store has not served the last calls, so that changes can only come from peers. */
-    val isCutOff: Boolean get() = failures >= CUT_OFF_FAILURES
+    /** Whether the store has not served the last call, so that changes can only come from peers. */
+    val isCutOff: Boolean get() = failures > 0
 
     /** The changes that a peer lacks which has applied all up to [revision]; null if there are none or they are gone. */
     fun changesAfter(revision: Long): RowsPart? = synchronized(applyLock) {
@@ -206,9 +206,6 @@
         /** Retries are delayed by [RETRY_DELAY] times the number of failures in a row, up to this number. */
         const val MAX_RETRY_DELAY_FACTOR = 5
 
-        /** Failed calls in a row after which the store is taken not to serve this instance. */
-        const val CUT_OFF_FAILURES = 2
-
         /** Time that a feed may stay behind a peer before it is taken to have gone silent. */
         val LAG_GRACE_PERIOD = 250.milliseconds
     }
