Take back versions that answer slowly

Callers: half of the requests to a new version were answered several times slower, and the rollout went on to 0.9 of the traffic.

Cause: RolloutPolicy compared rates of bad outcomes only, and a slow response that is complete is a good one. The version was taken back when requests reached their timeouts, 11 s after the order.

Change: the times to the first event and between events are compared, for each route, with the usual time of all versions; over twice that is slow. A version is taken back when its rate of slow responses is clearly higher (by 0.1 and 2.5 standard errors), and gets no more than the first share while it seems higher but too few are known. Times are counted at the first event, so slow responses count as early as fast ones. Counts of all instances are added up from their reports. What a process has seen of versions now stands in VersionOutcomes, apart from the other shared counts.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -21,6 +21,7 @@
 import org.berylpoint.entry.gateway.flow.PromptQuarantine
 import org.berylpoint.entry.gateway.flow.RequestFlow
 import org.berylpoint.entry.gateway.flow.SharedCounts
+import org.berylpoint.entry.gateway.flow.VersionOutcomes
 import org.berylpoint.entry.gateway.peers.PeerReportExchange
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.gateway.server.HttpServerClient
@@ -60,6 +61,7 @@
     private val site = SiteState(clocks, log)
     private val peers = PeerView(settings.instance, clocks, log)
     private val counts = SharedCounts(clocks, peers, settings.bounds)
+    private val versions = VersionOutcomes()
     private val quarantine = PromptQuarantine(settings.instance, clocks, peers, log)
     private val rollouts = RolloutDuty(store, site, peers, clocks, log, random, ::ownReport)
     private val client = HttpServerClient { address, fault ->
@@ -68,7 +70,7 @@
     }
     private val pool = ServerPool(settings.instance, settings.failureDomain, clocks, site, peers, rollouts, random)
     private val flow =
-        RequestFlow(clocks, site, pool, client, counts, quarantine, log, metrics, random) { refusesRequests }
+        RequestFlow(clocks, site, pool, client, counts, versions, quarantine, log, metrics, random) { refusesRequests }
     private val leaseManager = DutyLeaseManager(
         settings.instance,
         store,
@@ -247,7 +249,7 @@
             unheard = peers.usageOfSilentProcesses(),
             isCutOffFromStore = watcher.isCutOff,
         )
-        return quarantine.addTo(counts.addTo(base))
+        return quarantine.addTo(versions.addTo(counts.addTo(base)))
     }
 
     private fun dump(): String = buildJsonObject {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
@@ -14,6 +14,7 @@
 import org.berylpoint.platform.wire.StoreNames
 import org.berylpoint.policy.rollout.RolloutPolicy
 import org.berylpoint.policy.rollout.RolloutStep
+import org.berylpoint.policy.rollout.TimingCounts
 import org.berylpoint.policy.rollout.VersionCounts
 import kotlin.random.Random
 
@@ -31,10 +32,20 @@
     private val random: Random,
     private val ownReport: () -> NodeReport,
 ) : VersionSelector {
+    /** What all instances have seen of one version, or of several together. */
+    private class Evidence(val outcomes: VersionCounts, val timings: TimingCounts) {
+        operator fun minus(before: Evidence) = Evidence(
+            VersionCounts(outcomes.good - before.outcomes.good, outcomes.bad - before.outcomes.bad),
+            TimingCounts(timings.timed - before.timings.timed, timings.slow - before.timings.slow),
+        )
+    }
+
+    /** [newAtStart] and [oldAtStart] are what had been seen of the new version and of all others before the order. */
     private class TrackedRollout(
         val order: RolloutOrder,
         val startedAtMillis: Long,
-        val countsAtStart: Map<Boolean, VersionCounts>,
+        val newAtStart: Evidence,
+        val oldAtStart: Evidence,
     ) {
         var step = RolloutStep(0.0, RolloutState.RUNNING)
         var writtenState: RolloutState? = null
@@ -59,30 +70,36 @@
             val rollout = rollouts[order.service]?.takeIf { it.order.revision == order.revision }
                 ?: startTracking(order)
             if (rollout.step.state == RolloutState.ROLLED_BACK) continue
-            val counts = outcomeCounts(order).mapValues { (isNew, now) ->
-                val before = rollout.countsAtStart.getValue(isNew)
-                VersionCounts(now.good - before.good, now.bad - before.bad)
-            }
+            val new = evidence(order, ofNew = true) - rollout.newAtStart
+            val old = evidence(order, ofNew = false) - rollout.oldAtStart
             val elapsed = clocks.steadyMillis - rollout.startedAtMillis
-            val next =
-                RolloutPolicy.nextStep(counts.getValue(true), counts.getValue(false), elapsed, order.durationMillis)
-            if (next != rollout.step) {
-                log.event(
-                    "rollout",
-                    "a version's share changes",
-                    "service" to order.service.value,
-                    "to" to order.to.value,
-                    "share" to next.share,
-                    "state" to next.state.name,
-                    "new" to counts[true],
-                    "old" to counts[false],
-                )
-            }
+            val next = RolloutPolicy.nextStep(
+                new.outcomes,
+                old.outcomes,
+                elapsed,
+                order.durationMillis,
+                new.timings,
+                old.timings,
+            )
+            if (next != rollout.step) logStep(order, next, new, old)
             rollout.step = next
         }
         rollouts.keys.retainAll(site.view.rollouts.keys)
     }
 
+    private fun logStep(order: RolloutOrder, step: RolloutStep, new: Evidence, old: Evidence) = log.event(
+        "rollout",
+        "a version's share changes",
+        "service" to order.service.value,
+        "to" to order.to.value,
+        "share" to step.share,
+        "state" to step.state.name,
+        "new" to new.outcomes,
+        "old" to old.outcomes,
+        "newTimings" to new.timings,
+        "oldTimings" to old.timings,
+    )
+
     /** Writes the states that changed to the store; only the lease holder calls this. */
     public suspend fun writeChangedStates() {
         val changed = synchronized(this) { rollouts.values.filter { it.writtenState != it.step.state } }
@@ -106,17 +123,21 @@
         }
     }
 
-    private fun startTracking(order: RolloutOrder): TrackedRollout =
-        TrackedRollout(order, clocks.steadyMillis, outcomeCounts(order)).also { rollouts[order.service] = it }
+    private fun startTracking(order: RolloutOrder): TrackedRollout = TrackedRollout(
+        order,
+        clocks.steadyMillis,
+        evidence(order, ofNew = true),
+        evidence(order, ofNew = false),
+    ).also { rollouts[order.service] = it }
 
-    /** Outcomes of the new version (true) and of all others (false). */
-    private fun outcomeCounts(order: RolloutOrder): Map<Boolean, VersionCounts> {
+    /** What all instances have seen of the version that is rolled out, or of all other versions of its service. */
+    private fun evidence(order: RolloutOrder, ofNew: Boolean): Evidence {
         val parts = peers.allReports(ownReport())
             .flatMap { it.outcomes }
-            .filter { it.service == order.service.value }
-        return listOf(true, false).associateWith { isNew ->
-            val versionParts = parts.filter { (it.version == order.to.value) == isNew }
-            VersionCounts(versionParts.sumOf { it.good }, versionParts.sumOf { it.bad })
-        }
+            .filter { it.service == order.service.value && (it.version == order.to.value) == ofNew }
+        return Evidence(
+            VersionCounts(parts.sumOf { it.good }, parts.sumOf { it.bad }),
+            TimingCounts(parts.sumOf { it.timed }, parts.sumOf { it.slow }),
+        )
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
@@ -14,6 +14,7 @@
     val pool: ServerPool,
     val client: ServerClient,
     val counts: SharedCounts,
+    val versions: VersionOutcomes,
     val quarantine: PromptQuarantine,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -85,9 +85,17 @@
             pool.release(reservation, null)
             throw e
         }
+        if (end is AttemptEnd.Complete) attempt.eventGapMillis?.let { recordEventGap(reservation, it) }
         return conclude(reservation, end)
     }
 
+    private fun recordEventGap(reservation: ServerReservation, millis: Double) = flow.versions.recordEventGap(
+        request.service.name,
+        reservation.server.entry.version,
+        request.route.name,
+        millis,
+    )
+
     private fun countSharedPrefill(reservation: ServerReservation) {
         val sharedTokens = reservation.prefillTokens - (request.tokens?.ownTokens ?: 0)
         if (sharedTokens > 0) counts.countSharedPrefill(request.service.name, sharedTokens)
@@ -96,6 +104,12 @@
     private fun onStarted(reservation: ServerReservation) {
         pool.markStarted(reservation)
         flow.quarantine.recordResponse(reservation.server)
+        flow.versions.recordFirstEvent(
+            request.service.name,
+            reservation.server.entry.version,
+            request.route.name,
+            (clocks.steadyMillis - reservation.reservedAtMillis).toDouble(),
+        )
         progress.firstEventMillis = progress.firstEventMillis ?: (clocks.steadyMillis - request.arrivedAtMillis)
         countUsage()
     }
@@ -143,7 +157,7 @@
         runs++
         if (end is AttemptEnd.CallerDisconnected) return
         if (!request.isStream) countUsage()
-        counts.countOutcome(request.service.name, reservation.server.entry.version, end is AttemptEnd.Complete)
+        flow.versions.countOutcome(request.service.name, reservation.server.entry.version, end is AttemptEnd.Complete)
     }
 
     private fun recordFailure(reservation: ServerReservation, end: AttemptEnd) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -22,6 +22,7 @@
     pool: ServerPool,
     client: ServerClient,
     counts: SharedCounts,
+    versions: VersionOutcomes,
     quarantine: PromptQuarantine,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
@@ -30,7 +31,7 @@
     private val isLeaving: () -> Boolean = { false },
 ) {
     private val context =
-        FlowContext(clocks, pool, client, counts, quarantine, log, metrics, Admission(site, counts, random))
+        FlowContext(clocks, pool, client, counts, versions, quarantine, log, metrics, Admission(site, counts, random))
     private val inFlightCount = AtomicInteger()
 
     /** Requests in progress. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -97,6 +97,14 @@
     private var hasStarted = false
     private var hasPartialEvent = false
     private var eventCount = 0
+    private var firstEventAtMillis = 0L
+
+    /** Mean time between the events of the attempt so far; null while there are too few of them. */
+    val eventGapMillis: Double?
+        get() {
+            if (eventCount < MIN_EVENTS_FOR_GAP) return null
+            return (lastProgressAtMillis - firstEventAtMillis).toDouble() / (eventCount - 1)
+        }
 
     /** Runs the attempt and calls [onStarted] at the first sign that the server runs it. */
     suspend fun run(onStarted: () -> Unit): AttemptEnd {
@@ -145,7 +153,7 @@
         }
         if (isDuplicate(event)) return
         recordProgress()
-        eventCount++
+        if (eventCount++ == 0) firstEventAtMillis = lastProgressAtMillis
         if (!progress.isResponseStarted) {
             progress.isResponseStarted = true
             exchange.startResponse(head.status, head.headers)
@@ -229,6 +237,9 @@
         /** Silence allowed before that, in multiples of the target latency, in addition to the expected delay. */
         const val MAX_SILENT_TARGETS = 2
 
+        /** Events of a stream from which the time between them is taken. */
+        const val MIN_EVENTS_FOR_GAP = 5
+
         /** Events that a server may have sent when it crashes at the beginning of a response. */
         const val MAX_EVENTS_BEFORE_CRASH = 2
         const val OK = 200
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -3,13 +3,11 @@
 import org.berylpoint.entry.gateway.Clocks
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.settings.GatewayBounds
-import org.berylpoint.model.VersionName
 import org.berylpoint.model.Workspace
 import org.berylpoint.model.serving.ServiceName
 import org.berylpoint.model.serving.WorkspacePolicy
 import org.berylpoint.peer.DemandPart
 import org.berylpoint.peer.NodeReport
-import org.berylpoint.peer.VersionPart
 import org.berylpoint.peer.WindowPart
 import org.berylpoint.policy.duty.UsageWindows
 import org.berylpoint.policy.quota.CapShare
@@ -18,11 +16,10 @@
 
 /**
  * Counters of this process that are evaluated together with those of the other instances: caps, retries, usage,
- * crashes, outcomes and demand. The process sends them to the other instances in its reports.
+ * crashes and demand. The process sends them to the other instances in its reports.
  */
 public class SharedCounts(private val clocks: Clocks, private val peers: PeerView, private val bounds: GatewayBounds) {
     private class DemandSum(var prefill: Long = 0, var output: Long = 0, var refused: Long = 0)
-    private class OutcomeSum(var good: Long = 0, var bad: Long = 0)
 
     private val caps = HashMap<Workspace, UsageCap>()
 
@@ -42,7 +39,6 @@
     /** Fingerprints of requests that servers completed; such a request is not what a lost connection is due to. */
     private val completed = LinkedHashSet<String>()
     private val demands = HashMap<ServiceName, DemandSum>()
-    private val outcomes = HashMap<Pair<ServiceName, VersionName>, OutcomeSum>()
 
     /** Charges [cost] to [policy]'s cap; null if it was charged, else the milliseconds until the cap has room. */
     @Synchronized
@@ -147,13 +143,6 @@
         usage.add(workspace, clocks.steadyMillis + peers.wallClockOffsetMillis())
     }
 
-    /** Counts the outcome of an attempt at a server of [version]. */
-    @Synchronized
-    public fun countOutcome(service: ServiceName, version: VersionName, isGood: Boolean) {
-        val sum = outcomes.getOrPut(service to version) { OutcomeSum() }
-        if (isGood) sum.good++ else sum.bad++
-    }
-
     /** Counts a connection to a server that was lost during the request with [fingerprint]. */
     @Synchronized
     public fun countCrash(fingerprint: String) {
@@ -186,7 +175,6 @@
     public fun addTo(report: NodeReport): NodeReport = report.copy(
         admitted = admitted.toMap(),
         usage = usage.snapshot().map { (window, counts) -> WindowPart(window, counts.mapKeys { it.key.name }) },
-        outcomes = outcomes.map { (key, sum) -> VersionPart(key.first.value, key.second.value, sum.good, sum.bad) },
         crashes = crashes.entries.toList().takeLast(MAX_REPORTED_FINGERPRINTS).associate { it.key to it.value },
         demands = demands.map { (service, sum) -> DemandPart(service.value, sum.prefill, sum.output, sum.refused) },
         windowTotals = windowTotals(),
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -60,6 +60,7 @@
 
     private fun nextScript() = if (scripts.size > 1) scripts.removeFirst() else scripts.first()
 
+    val versions = VersionOutcomes()
     val quarantine = PromptQuarantine("self", clocks, peers, log)
     val flow = RequestFlow(
         clocks,
@@ -67,6 +68,7 @@
         pool,
         client,
         counts,
+        versions,
         quarantine,
         log,
         GatewayMetrics(PrometheusRegistry()),
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -94,6 +94,9 @@
     @CborLabel(2) val version: String,
     @CborLabel(3) val good: Long,
     @CborLabel(4) val bad: Long,
+    /** Responses whose time is known, and the slow ones among them. */
+    @CborLabel(5) val timed: Long = 0,
+    @CborLabel(6) val slow: Long = 0,
 )
 
 /** What callers asked of one service so far. */
--- /dev/null
+++ b/policy/src/test/kotlin/org/berylpoint/policy/rollout/SlowVersionTest.kt
@@ -0,0 +1,89 @@
+package org.berylpoint.policy.rollout
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.berylpoint.model.serving.RolloutState
+import kotlin.math.exp
+import kotlin.random.Random
+import kotlin.random.asJavaRandom
+
+/** Load during a rollout: 100 requests per second with response times of a long-tailed distribution. */
+class SlowVersionTest :
+    FunSpec({
+        for (seed in 1..20) {
+            // Guards against a version that answers several times slower and is kept (EXPOSURE).
+            test("a version of which half of the responses take four times as long gets few requests (seed $seed)") {
+                val rollout = SimulatedRollout(Random(seed), slowShare = 0.5)
+                rollout.run() shouldBe RolloutState.ROLLED_BACK
+                rollout.sentToNew shouldBeLessThan rollout.sent / 10
+            }
+
+            test("a version that is as fast as the old one completes (seed $seed)") {
+                SimulatedRollout(Random(seed), slowShare = 0.0).run() shouldBe RolloutState.COMPLETED
+            }
+        }
+    })
+
+private class SimulatedRollout(private val random: Random, private val slowShare: Double) {
+    private class Response(val isNew: Boolean, val endAt: Long, val millis: Double)
+
+    private val times = ResponseTimes()
+    private val pending = ArrayList<Response>()
+    private val good = LongArray(2)
+    private val timed = LongArray(2)
+    private val slow = LongArray(2)
+    var sent = 0L
+    var sentToNew = 0L
+
+    fun run(): RolloutState {
+        var step = RolloutStep(0.0, RolloutState.RUNNING)
+        for (now in 0L until DURATION_MILLIS step STEP_MILLIS) {
+            if (now % DECISION_MILLIS == 0L) step = decide(now, step)
+            send(now, step.share)
+            receive(now)
+        }
+        return step.state
+    }
+
+    private fun decide(now: Long, step: RolloutStep): RolloutStep {
+        if (step.state != RolloutState.RUNNING) return step
+        return RolloutPolicy.nextStep(
+            VersionCounts(good[1], 0),
+            VersionCounts(good[0], 0),
+            now,
+            DURATION_MILLIS,
+            TimingCounts(timed[1], slow[1]),
+            TimingCounts(timed[0], slow[0]),
+        )
+    }
+
+    private fun send(now: Long, share: Double) {
+        val isNew = random.nextDouble() < share
+        val factor = if (isNew && random.nextDouble() < slowShare) SLOWNESS else 1.0
+        val millis = USUAL_MILLIS * exp(random.asJavaRandom().nextGaussian() * TAIL) * factor
+        pending += Response(isNew, now + millis.toLong(), millis)
+        sent++
+        if (isNew) sentToNew++
+    }
+
+    private fun receive(now: Long) {
+        for (response in pending.filter { it.endAt <= now }) {
+            val index = if (response.isNew) 1 else 0
+            good[index]++
+            val isSlow = times.add(response.millis) ?: continue
+            timed[index]++
+            if (isSlow) slow[index]++
+        }
+        pending.removeAll { it.endAt <= now }
+    }
+
+    private companion object {
+        const val DURATION_MILLIS = 15_000L
+        const val DECISION_MILLIS = 500L
+        const val STEP_MILLIS = 10L
+        const val USUAL_MILLIS = 200.0
+        const val TAIL = 0.8
+        const val SLOWNESS = 4.0
+    }
+}
