--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -71,6 +71,22 @@
             }
         }
 
+        // Guards against instances that stop following the servers because another writer left one odd entry among them.
+        test("instances go on following the servers after an entry that can't be read") {
+            runTest {
+                val tables = FakeTables(this)
+                tables.put("servers", "s1", FollowingInstances.server())
+                val instances = FollowingInstances(this, tables, perDomain = 2)
+                delay(1.seconds)
+                tables.put("servers", "odd", "[".repeat(10_000).encodeToByteArray())
+                tables.put("servers", "s2", FollowingInstances.server())
+                delay(2.seconds)
+                tables.delete("servers", "s1")
+                delay(1.seconds)
+                instances.all.map { it.uses("s1") to it.uses("s2") }.distinct() shouldBe listOf(false to true)
+            }
+        }
+
         // Guards against changes that are lost with one datagram while the store turns the instance away.
         test("what a peer can't read from the store is sent again until its report shows it") {
             runTest {
