Start loops again that an unexpected input ends

The class of the odd entry among servers: an exception ended a feed, the duties, or the reports to peers for good, and the process went on without them. Each of these loops now starts again after a pause, with a log line, and a row that can't be applied is skipped, so that it does not hold back those after it.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -137,9 +137,9 @@
         // Callers wait for the addresses to open, so everything that can start later does.
         front.start()
         scope.launch { reportExchange.start(this) }
-        scope.launch { leaseManager.run { isStopping } }
-        scope.launch { runDuties() }
-        scope.launch { applyIdleTimeout() }
+        scope.launch { restarting(log, "duty lease") { leaseManager.run { isStopping } } }
+        scope.launch { restarting(log, "duties") { runDuties() } }
+        scope.launch { restarting(log, "idle timeout") { applyIdleTimeout() } }
         log.event("process", "listening for requests", "caller" to settings.callerAddress)
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.restarting
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.ReportSocket
 import org.berylpoint.peer.RowsPart
@@ -57,14 +58,16 @@
         this.socket = socket
         scope.coroutineContext.job.invokeOnCompletion { socket.close() }
         socket.receive { received -> view.accept(received)?.let(onReport) }
-        scope.launch { registerAndDiscover() }
-        scope.launch {
-            while (true) {
-                view.removeExpiredPeers()
-                val addresses = view.addresses()
-                socket.send(buildReport(sequence.incrementAndGet()), addresses)
-                delay(PeerView.reportIntervalMillis(addresses.size).milliseconds)
-            }
+        scope.launch { restarting(log, "peer discovery") { registerAndDiscover() } }
+        scope.launch { restarting(log, "peer reports") { sendReports(socket) } }
+    }
+
+    private suspend fun sendReports(socket: ReportSocket) {
+        while (true) {
+            view.removeExpiredPeers()
+            val addresses = view.addresses()
+            socket.send(buildReport(sequence.incrementAndGet()), addresses)
+            delay(PeerView.reportIntervalMillis(addresses.size).milliseconds)
         }
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -39,12 +39,12 @@
     public fun replaceOperatorRows(rows: List<StoreRow>) {
         val keys = rows.map { it.key }.toSet()
         for (key in operatorRevisions.keys - keys) removeOperatorOrder(key)
-        rows.forEach(::applyOperatorRow)
+        applyEach(rows, ::applyOperatorRow)
     }
 
     /** Applies changed rows of the operators' table. */
     @Synchronized
-    public fun updateOperatorRows(rows: List<StoreRow>): Unit = rows.forEach(::applyOperatorRow)
+    public fun updateOperatorRows(rows: List<StoreRow>): Unit = applyEach(rows, ::applyOperatorRow)
 
     /** Applies a complete read of the servers' table. */
     @Synchronized
@@ -52,7 +52,7 @@
         val ids = rows.map { BackendServerId(it.key) }.toSet()
         for (id in view.servers.keys - ids) handleDeletion(id)
         val isFirst = !view.hasLoadedServers
-        for (row in rows) applyServerRow(row, isLogged = !isFirst)
+        applyEach(rows) { applyServerRow(it, isLogged = !isFirst) }
         view = view.copy(hasLoadedServers = true)
         // One line for all servers: a line for each would delay the first requests after a start.
         if (isFirst) log.event("site", "servers are known", "servers" to view.servers.values.map(::describe))
@@ -60,7 +60,7 @@
 
     /** Applies changed rows of the servers' table. */
     @Synchronized
-    public fun updateServerRows(rows: List<StoreRow>): Unit = rows.forEach { applyServerRow(it, isLogged = true) }
+    public fun updateServerRows(rows: List<StoreRow>): Unit = applyEach(rows) { applyServerRow(it, isLogged = true) }
 
     /** Removes servers whose entries are still missing when the recovery period after a store failure has passed. */
     @Synchronized
@@ -69,6 +69,17 @@
         for (id in view.missingServers) removeServer(id, "its entry is missing after the store's recovery")
     }
 
+    /** Applies each row; one that fails does not keep the others, or later changes, from being applied. */
+    private fun applyEach(rows: List<StoreRow>, applyRow: (StoreRow) -> Unit) {
+        for (row in rows) {
+            try {
+                applyRow(row)
+            } catch (e: RuntimeException) {
+                log.event("site", "ignoring a row that can't be applied", "row" to row, "cause" to e.toString())
+            }
+        }
+    }
+
     private fun applyOperatorRow(row: StoreRow) {
         if (row.revision <= (operatorRevisions[row.key] ?: -1)) return
         operatorRevisions[row.key] = row.revision
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.restarting
 import org.berylpoint.peer.RowsPart
 import org.berylpoint.platform.store.StoreRow
 import org.berylpoint.platform.store.TableReader
@@ -37,8 +38,7 @@
 
     /** Runs until [scope] ends. */
     public fun start(scope: CoroutineScope): Job = scope.launch {
-        launch { operatorFeed.run() }
-        launch { serverFeed.run() }
+        for (feed in feeds) launch { restarting(log, "feed ${feed.table}") { feed.run() } }
         launch {
             while (true) {
                 delay(MISSING_CHECK_INTERVAL)
