Tell streams that are broken off within a comment from complete ones

A stream that ended within a comment was passed on as complete, and one with a further empty line at its end was taken to be broken off: sent again, or aborted after its last event. Parts of events, plain responses and resets were right before.

The part after the last complete event now always means that the stream was broken off, unless it is only ends of lines.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -144,13 +144,15 @@
             body = event.bytes
             return
         }
-        if (event.bytes.isComment()) return forwardComment(event)
-        markStarted(onStarted)
+        if (event.bytes.isBlank()) return forwardFiller(event)
+        val isComment = event.bytes.isComment()
+        if (!isComment) markStarted(onStarted)
         if (!event.bytes.isCompleteEvent()) {
             // The server stopped within an event. It is not forwarded, so that another server can send it complete.
             hasPartialEvent = true
             return
         }
+        if (isComment) return forwardFiller(event)
         if (isDuplicate(event)) return
         recordProgress()
         if (eventCount++ == 0) firstEventAtMillis = lastProgressAtMillis
@@ -163,8 +165,8 @@
         progress.lastEventHasNoId = event.eventId == null
     }
 
-    /** Forwards a comment within the stream. It carries no part of the response, so it is no progress. */
-    private fun forwardComment(event: ServerEvent.Data) {
+    /** Forwards a comment or an empty line of the stream. It carries no part of the response, so it is no progress. */
+    private fun forwardFiller(event: ServerEvent.Data) {
         if (progress.isResponseStarted) exchange.write(event.bytes)
     }
 
@@ -255,6 +257,9 @@
     this[size - 1] == LINE_FEED &&
     (this[size - 2] == LINE_FEED || (size >= 3 && this[size - 2] == CARRIAGE_RETURN && this[size - 3] == LINE_FEED))
 
+/** Whether there are only ends of lines, of which a server may send more than the one that ends an event. */
+private fun ByteArray.isBlank(): Boolean = all { it == LINE_FEED || it == CARRIAGE_RETURN }
+
 /** Whether all lines are comments, which some servers send to keep a connection alive. */
 private fun ByteArray.isComment(): Boolean = isNotEmpty() &&
     this[0] == COLON &&
