--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -140,20 +140,25 @@
 
     private fun handleData(event: ServerEvent.Data, onStarted: () -> Unit) {
         val head = head ?: return
-        if (!isEventStream(head)) {
-            body = event.bytes
-            return
+        when {
+            !isEventStream(head) -> body = event.bytes
+            event.bytes.isBlank() -> forwardFiller(event)
+            else -> handleEvent(head, event, onStarted)
         }
-        if (event.bytes.isBlank()) return forwardFiller(event)
+    }
+
+    private fun handleEvent(head: ServerEvent.Head, event: ServerEvent.Data, onStarted: () -> Unit) {
         val isComment = event.bytes.isComment()
         if (!isComment) markStarted(onStarted)
-        if (!event.bytes.isCompleteEvent()) {
+        when {
             // The server stopped within an event. It is not forwarded, so that another server can send it complete.
-            hasPartialEvent = true
-            return
+            !event.bytes.isCompleteEvent() -> hasPartialEvent = true
+            isComment -> forwardFiller(event)
+            !isDuplicate(event) -> forwardEvent(head, event)
         }
-        if (isComment) return forwardFiller(event)
-        if (isDuplicate(event)) return
+    }
+
+    private fun forwardEvent(head: ServerEvent.Head, event: ServerEvent.Data) {
         recordProgress()
         if (eventCount++ == 0) firstEventAtMillis = lastProgressAtMillis
         if (!progress.isResponseStarted) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -57,7 +57,7 @@
         feeds.firstOrNull { it.table == part.table }?.applyForwarded(part)
     }
 
-    /** The changes that a peer lacks which has applied those up to [revisions], by table; none if they are not known. */
+    /** The changes that a peer lacks which has applied those up to [revisions], by table, as far as they are known. */
     public fun changesAfter(revisions: Map<String, Long>): List<RowsPart> =
         feeds.mapNotNull { it.changesAfter(revisions[it.table] ?: 0) }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -17,7 +17,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Keeps this process's copy of one [table] up to date with the store: reads it whole once, and then follows its changes.
+ * Keeps this process's copy of one [table] up to date with the store: reads it whole once, then follows its changes.
  * [replace] gets the rows of a complete read, [update] changed rows in the order of their revisions.
  */
 internal class TableFeed(
@@ -63,7 +63,7 @@
     /** Whether the store has not served the last call, so that changes can only come from peers. */
     val isCutOff: Boolean get() = failures > 0
 
-    /** The changes that a peer lacks which has applied all up to [revision]; null if there are none or they are gone. */
+    /** The changes that a peer lacks which has applied all up to [revision], as far as known; null for none. */
     fun changesAfter(revision: Long): RowsPart? = synchronized(applyLock) {
         val rows = recentRows.after(revision) ?: return null
         RowsPart(table, revision, rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) })
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -49,8 +49,8 @@
             }
         }
 
-        // Guards against requests to a departed server (DRAIN): an instance that the store turned away while it read the
-        // feeds for its failure domain learned of a departure only when the store served it again.
+        // Guards against requests to a departed server (DRAIN): an instance that the store turned away while it read
+        // the feeds for its failure domain learned of a departure only when the store served it again.
         test("instances that the store turns away learn of departures from their peers") {
             runTest {
                 val tables = FakeTables(this)
@@ -71,7 +71,7 @@
             }
         }
 
-        // Guards against instances that stop following the servers because another writer left one odd entry among them.
+        // Guards against instances that stop following the servers because another writer left one odd entry there.
         test("instances go on following the servers after an entry that can't be read") {
             runTest {
                 val tables = FakeTables(this)
--- a/policy/src/main/kotlin/org/berylpoint/policy/quarantine/CrashSuspects.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/quarantine/CrashSuspects.kt
@@ -64,7 +64,7 @@
         while (completed.size > MAX_COMPLETED_PARTS) completed.remove(completed.keys.first())
     }
 
-    /** The first of [parts] that is in quarantine, so that a request with just these parts is to be refused; or null. */
+    /** The first of [parts] in quarantine, for which a request with just these parts is to be refused; or null. */
     public fun quarantined(parts: Collection<String>, nowMillis: Long): String? =
         parts.firstOrNull { isQuarantined(it, parts, nowMillis) }
 
--- a/policy/src/test/kotlin/org/berylpoint/policy/quarantine/CrashSuspectsTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/quarantine/CrashSuspectsTest.kt
@@ -5,7 +5,8 @@
 
 class CrashSuspectsTest :
     FunSpec({
-        // Guards against a prompt part that crashes one server after the other in requests that are never alike (BUDGET).
+        // Guards against a prompt part that crashes one server after the other, in requests that are never alike
+        // (BUDGET).
         test("a part is quarantined after three server processes crashed during requests with it") {
             val suspects = CrashSuspects()
             suspects.recordLoss(listOf("deadly"), "a@1", 0)
@@ -58,8 +59,8 @@
             suspects.isQuarantined("rare", 1_000) shouldBe false
         }
 
-        // Guards against sound requests that are refused for good (seen in tainted, seed 2): a rare part was in each of the
-        // requests that had crashed servers so far.
+        // Guards against sound requests that are refused for good (seen in tainted, seed 2): a rare part was in each of
+        // the requests that had crashed servers so far.
         test("of two parts that crashed the same servers, the next request with one of them tells which is deadly") {
             val suspects = CrashSuspects()
             for (process in listOf("a@1", "b@1", "c@1")) suspects.recordLoss(listOf("rare", "deadly"), process, 0)
@@ -73,7 +74,7 @@
         // Guards against a part that crashes a server for each instance, as requests with it come to any of them.
         test("crashes that different instances have seen count together") {
             val instances = List(3) { CrashSuspects() }
-            instances.forEachIndexed { i, it -> it.recordLoss(listOf("deadly"), "s$i@1", 0) }
+            instances.forEachIndexed { i, instance -> instance.recordLoss(listOf("deadly"), "s$i@1", 0) }
             exchange(instances, 500)
             instances.map { it.isQuarantined("deadly", 600) } shouldBe listOf(true, true, true)
         }
--- a/policy/src/test/kotlin/org/berylpoint/policy/rollout/RolloutPolicyTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/rollout/RolloutPolicyTest.kt
@@ -18,7 +18,8 @@
             RolloutPolicy.nextStep(VersionCounts(5, 5), old, 1_500, 12_000).state shouldBe RolloutState.ROLLED_BACK
         }
 
-        // Guards against a version that answers several times slower and is kept (EXPOSURE): all its responses are good.
+        // Guards against a version that answers several times slower and is kept (EXPOSURE): all its responses are
+        // good.
         test("a version whose responses are slow is rolled back although they are complete") {
             val old = VersionCounts(500, 0)
             val step = RolloutPolicy.nextStep(
