--- a/entry/src/main/kotlin/org/berylpoint/entry/catalogue/CatalogueSync.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/catalogue/CatalogueSync.kt
@@ -3,9 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.mutate
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
@@ -40,7 +37,6 @@
 import org.berylpoint.peer.PeerMessage.Heartbeat
 import org.berylpoint.platform.TableService
 import org.berylpoint.policy.Rendezvous
-import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -68,20 +64,17 @@
 ) : CatalogueSource,
     HeartbeatExtension,
     StateDump {
-    /** Evidence that [version] was the newest one in the table at the time [at]. */
-    private class FreshnessProof(val version: Long, val at: ComparableTimeMark)
-
     private val self = context.self
     private val store = CatalogueStore(table, context.objects, context.time)
     private val inForce = MutableStateFlow<Catalogue?>(null)
-    private val confirmedVersions = MutableStateFlow<PersistentMap<InstanceId, Long>>(persistentMapOf())
+    private val confirmations = CatalogueConfirmations(membership)
+    private val freshness = CatalogueFreshness()
     private val recentUpdates = UpdateWindow()
     private val fetchingFrom = mutableSetOf<InstanceId>()
 
     /** The catalogue of the highest version received or read; published as [current] when the start-up is complete. */
     private var newest: Catalogue? = null
     private var isStarted = false
-    private var freshnessProof: FreshnessProof? = null
     private var commitCount = 0L
 
     override val name: String = "catalogue"
@@ -106,7 +99,7 @@
     }
 
     override fun fill(heartbeat: Heartbeat): Heartbeat {
-        val age = freshnessProof?.takeIf { it.version == newestVersion }?.at?.elapsedNow()?.inWholeMilliseconds
+        val age = freshness.ageOf(newestVersion)?.inWholeMilliseconds
         return heartbeat.copy(
             catalogueVersion = inForce.value?.version ?: 0,
             catalogueProofAgeMillis = age ?: NO_PROOF_AGE,
@@ -115,23 +108,20 @@
 
     override fun receive(heartbeat: Heartbeat, ageMillis: Long) {
         val sender = heartbeat.sender
-        recordConfirmation(sender.id, heartbeat.catalogueVersion)
+        confirmations.record(sender.id, heartbeat.catalogueVersion)
         when {
             heartbeat.catalogueVersion > newestVersion -> fetchInBackground(sender)
 
             heartbeat.catalogueVersion == newestVersion && heartbeat.catalogueProofAgeMillis >= 0 -> {
                 val age = (heartbeat.catalogueProofAgeMillis + ageMillis).milliseconds
-                recordFreshness(newestVersion, context.time.markNow() - age)
+                freshness.record(newestVersion, context.time.markNow() - age)
             }
         }
     }
 
     /** The version that each member, this instance included, has confirmed to be in force; 0 for none so far. */
-    public fun confirmations(): Map<InstanceId, Long> {
-        val versions = confirmedVersions.value
-        return membership.value.members.mapValues { (id, _) ->
-            if (id == self.id) inForce.value?.version ?: 0 else versions[id] ?: 0
-        }
+    public fun confirmations(): Map<InstanceId, Long> = confirmations.ofMembers().mapValues { (id, version) ->
+        if (id == self.id) inForce.value?.version ?: 0 else version
     }
 
     /** Pushes the catalogue to the members that have not confirmed its version, and returns all [confirmations]. */
@@ -173,7 +163,7 @@
             ifRight = { version ->
                 log.info { "catalogue: version $version is accepted" }
                 install(catalogue.replay(update), listOf(update))
-                recordFreshness(version, start)
+                freshness.record(version, start)
                 // In the background, so that an operator's call does not wait for peers that don't respond.
                 context.scope.launch { pushToPeers(catalogue.replay(update)) }
             },
@@ -223,22 +213,6 @@
         if (isDue && writers.any { it.id == self.id }) context.scope.launch { store.writeSnapshot(next) }
     }
 
-    private fun recordFreshness(version: Long, at: ComparableTimeMark) {
-        val last = freshnessProof
-        val isOlder = last != null && (last.version > version || (last.version == version && last.at >= at))
-        if (!isOlder) freshnessProof = FreshnessProof(version, at)
-    }
-
-    private fun recordConfirmation(id: InstanceId, version: Long) {
-        val members = membership.value.members
-        val versions = confirmedVersions.value
-        if (version <= (versions[id] ?: 0)) return
-        confirmedVersions.value = versions.mutate { map ->
-            map[id] = version
-            if (map.size > members.size + MAX_DEPARTED_CONFIRMATIONS) map.keys.retainAll(members.keys + id)
-        }
-    }
-
     // Start-up
 
     private suspend fun bootstrap() {
@@ -293,7 +267,7 @@
         }
         result.onRight {
             install(it.catalogue, it.updates)
-            if (it.catalogue.version == newestVersion) recordFreshness(newestVersion, start)
+            if (it.catalogue.version == newestVersion) freshness.record(newestVersion, start)
         }
         return result.isRight()
     }
@@ -312,7 +286,7 @@
         targets.forEach { target ->
             launch {
                 context.peers.call(target.peerAddress, message, PEER_TIMEOUT).onRight {
-                    if (it is PeerMessage.Ack) recordConfirmation(target.id, catalogue.version)
+                    if (it is PeerMessage.Ack) confirmations.record(target.id, catalogue.version)
                 }
             }
         }
@@ -323,7 +297,7 @@
         val offeredVersion = data.catalogue?.version
             ?: data.updates.lastOrNull()?.let { it.expectedVersion + 1 }
             ?: NO_VERSION
-        recordConfirmation(from, offeredVersion)
+        confirmations.record(from, offeredVersion)
         installReceived(data)
         if (newestVersion > previousVersion) forwardPush()
         if (inForce.value.let { it != null && it.version >= offeredVersion }) return PeerMessage.Ack
@@ -379,7 +353,7 @@
         put("version", inForce.value?.version)
         put("entries", inForce.value?.entries?.size)
         put("started", isStarted)
-        put("proofAgeMillis", freshnessProof?.at?.elapsedNow()?.inWholeMilliseconds)
+        put("proofAgeMillis", freshness.age?.inWholeMilliseconds)
         putJsonObject("confirmed") { confirmations().forEach { (id, version) -> put(id.value, version) } }
     }
 
@@ -410,6 +384,5 @@
         const val COMMITTER_PUSH_FANOUT = 8
         const val FORWARD_PUSH_FANOUT = 4
         const val SNAPSHOT_WRITERS = 2
-        const val MAX_DEPARTED_CONFIRMATIONS = 100
     }
 }
