--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -246,7 +246,7 @@
             isLeaving = isStopping,
             address = settings.reportAddress.toString(),
             revisions = watcher.revisions,
-            unheard = peers.usageOfSilentProcesses(),
+            silentProcesses = peers.usageOfSilentProcesses(),
             isCutOffFromStore = watcher.isCutOff,
         )
         return quarantine.addTo(versions.addTo(counts.addTo(base)))
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -55,7 +55,7 @@
         val last = peer.report
         if (last != null && !isNewer(report, last)) return null
         if (last != null && last.startedAtMillis != report.startedAtMillis) ended.record(last)
-        report.unheard.filterNot(::isReporting).forEach(ended::merge)
+        report.silentProcesses.filterNot(::isReporting).forEach(ended::merge)
         if (last == null || now - peer.lastReportAtMillis > silenceTimeoutMillis()) {
             log.event("peer", "an instance is heard", "peer" to report.name, "address" to report.address)
         }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/PeerViewTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/PeerViewTest.kt
@@ -51,7 +51,9 @@
             val restarted = report(sequence = 1, admitted = 0.0).copy(startedAtMillis = 9)
             for (name in listOf("other", "young")) survivor.accept(restarted.copy(name = name))
             val (newcomer, _) = createView("young")
-            newcomer.accept(report(50, 0.0).copy(name = "survivor", unheard = survivor.usageOfSilentProcesses()))
+            newcomer.accept(
+                report(50, 0.0).copy(name = "survivor", silentProcesses = survivor.usageOfSilentProcesses()),
+            )
             val own = OWN.copy(name = "young", startedAtMillis = 9)
             requests(newcomer.allReports(own)) shouldBe 120
         }
@@ -69,7 +71,7 @@
             view.accept(counted("other", startedAt = 1, requests = 40))
             time += 2.seconds
             val parts = listOf("other", "self").map { ProcessPart(it, 1, usage(30)) }
-            view.accept(report(50, 0.0).copy(name = "third", unheard = parts))
+            view.accept(report(50, 0.0).copy(name = "third", silentProcesses = parts))
             val own = OWN.copy(usage = usage(10))
             requests(view.allReports(own)) shouldBe 50
         }
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -42,15 +42,15 @@
     @CborLabel(17) val rows: RowsPart? = null,
     /** What all instances admitted in the last cap window as the sender knows it, by workspace; for new processes. */
     @CborLabel(18) val windowTotals: Map<String, Double> = emptyMap(),
-    /** Usage of processes that the sender does not hear any more; for new processes. */
-    @CborLabel(19) val unheard: List<ProcessPart> = emptyList(),
+    /** Usage of processes that have stopped reporting to the sender; for new processes. */
+    @CborLabel(19) val silentProcesses: List<ProcessPart> = emptyList(),
     /** Whether the store does not serve the sender, which then depends on its peers for changed rows. */
     @CborLabel(20) val isCutOffFromStore: Boolean = false,
     /** What all requests have in common that seem to have crashed servers. */
     @CborLabel(21) val suspects: List<SuspectPart> = emptyList(),
 )
 
-/** What one process counted for [NodeReport.usage] when it was heard last. */
+/** What one process counted for [NodeReport.usage] in its last report. */
 @Serializable
 public data class ProcessPart(
     @CborLabel(1) val name: String,
