Keep a quarantined prompt part when many others are suspected

Beyond 500 suspected parts the one that had not changed for longest was dropped: the deadly one, which gets no new crashes in quarantine, as soon as the crash of a whole domain makes hundreds of parts suspect. The one with the fewest crashes is dropped now. The new test failed before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/PromptQuarantine.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/PromptQuarantine.kt
@@ -40,7 +40,10 @@
             log.event("quarantine", "one request with a prompt part in quarantine is sent", "part" to part)
             return null
         }
-        if (refused.add(part)) logQuarantine(part)
+        if (refused.add(part)) {
+            refused.removeAll { !isQuarantined(it) }
+            logQuarantine(part)
+        }
         return part
     }
 
--- a/policy/src/main/kotlin/org/berylpoint/policy/quarantine/CrashSuspects.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/quarantine/CrashSuspects.kt
@@ -115,7 +115,7 @@
         return suspects.entries
             .filter { (_, it) -> it.losses.values.any { loss -> !loss.isRefuted } || isRecent(it, nowMillis) }
             .sortedWith(
-                compareByDescending<Map.Entry<String, Suspect>> { (_, it) -> it.losses.values.count { !it.isRefuted } }
+                compareByDescending<Map.Entry<String, Suspect>> { (_, it) -> it.suspectedProcesses().size }
                     .thenByDescending { (_, it) -> it.changedAtMillis },
             )
             .take(MAX_REPORTED_PARTS)
@@ -148,7 +148,16 @@
         suspect.changedAtMillis = nowMillis
         if (suspect.losses.size > MAX_LOSSES_OF_PART) suspect.losses.remove(suspect.losses.keys.first())
         lostProcesses[process] = nowMillis
-        if (suspects.size > MAX_SUSPECTS) suspects.remove(suspects.entries.minBy { it.value.changedAtMillis }.key)
+        if (suspects.size > MAX_SUSPECTS) removeLeastSuspected()
+    }
+
+    /** A part in quarantine stays, however many others are suspected after servers of a whole domain have crashed. */
+    private fun removeLeastSuspected() {
+        val byWeight = compareBy<Map.Entry<String, Suspect>>(
+            { (_, it) -> it.suspectedProcesses().size },
+            { (_, it) -> it.changedAtMillis },
+        )
+        suspects.remove(suspects.entries.minWith(byWeight).key)
     }
 
     private fun refute(suspect: Suspect, loss: Loss, nowMillis: Long) {
--- a/policy/src/test/kotlin/org/berylpoint/policy/quarantine/CrashSuspectsTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/quarantine/CrashSuspectsTest.kt
@@ -100,6 +100,14 @@
             (report.size <= 8) shouldBe true
         }
 
+        // Guards against a deadly part that is forgotten while many sound ones are suspected.
+        test("a quarantined part stays so when servers crash with many other parts") {
+            val suspects = CrashSuspects()
+            for (i in 1..3) suspects.recordLoss(listOf("deadly"), "s$i@1", 0)
+            suspects.recordLoss((1..1_000).map { "rare$it" }, "x@1", 1_000)
+            suspects.isQuarantined("deadly", 2_000) shouldBe true
+        }
+
         test("a quarantined part is tried again once in a while, and is free after a completion") {
             val suspects = CrashSuspects()
             for (i in 1..3) suspects.recordLoss(listOf("part"), "s$i@1", 0)
