Leave a rollout as it is once it has ended

Operators would have read `rolled_back` for a version whose predecessor had ended. Cause: only a rollout that was taken back was final. One that was completed went on to be compared; with response times counted, the higher load of the servers that are left looked like a slow version. Bad outcomes could have had the same effect before.

Both ends are final now. RolloutDutyTest failed before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
@@ -69,7 +69,8 @@
         for (order in site.view.rollouts.values) {
             val rollout = rollouts[order.service]?.takeIf { it.order.revision == order.revision }
                 ?: startTracking(order)
-            if (rollout.step.state == RolloutState.ROLLED_BACK) continue
+            // Neither end is left again: the servers of the other version have ended by then.
+            if (rollout.step.state != RolloutState.RUNNING) continue
             val new = evidence(order, ofNew = true) - rollout.newAtStart
             val old = evidence(order, ofNew = false) - rollout.oldAtStart
             val elapsed = clocks.steadyMillis - rollout.startedAtMillis
--- /dev/null
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/duty/RolloutDutyTest.kt
@@ -0,0 +1,76 @@
+package org.berylpoint.entry.gateway.duty
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.berylpoint.entry.gateway.Clocks
+import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.peers.PeerView
+import org.berylpoint.entry.gateway.site.SiteState
+import org.berylpoint.model.VersionName
+import org.berylpoint.model.serving.ServiceName
+import org.berylpoint.peer.NodeReport
+import org.berylpoint.peer.VersionPart
+import org.berylpoint.platform.store.PlatformHttp
+import org.berylpoint.platform.store.StoreClient
+import org.berylpoint.platform.store.StoreRow
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class RolloutDutyTest :
+    FunSpec({
+        // Guards against a rollout that is reported as taken back after it was completed: the old servers have ended by
+        // then, and with fewer servers left responses are slower than before.
+        test("a completed rollout is not taken back") {
+            val rollout = OrderedRollout()
+            rollout.time += 9.seconds
+            rollout.update(VersionPart("s", "v1", 1_000, 0, 1_000, 100), VersionPart("s", "v2", 200, 0, 200, 20))
+            rollout.selected() shouldBe setOf(NEW)
+            rollout.time += 2.seconds
+            rollout.update(VersionPart("s", "v1", 1_000, 0, 1_000, 100), VersionPart("s", "v2", 400, 100, 500, 300))
+            rollout.selected() shouldBe setOf(NEW)
+        }
+
+        test("a rollout that was taken back stays so") {
+            val rollout = OrderedRollout()
+            rollout.time += 2.seconds
+            rollout.update(VersionPart("s", "v1", 1_000, 0), VersionPart("s", "v2", 10, 10))
+            rollout.selected() shouldBe setOf(OLD)
+            rollout.update(VersionPart("s", "v1", 1_000, 0), VersionPart("s", "v2", 1_000, 10))
+            rollout.selected() shouldBe setOf(OLD)
+        }
+    })
+
+private val OLD = VersionName("v1")
+private val NEW = VersionName("v2")
+
+/** A rollout of `v2` over 10 s that was ordered now. */
+private class OrderedRollout {
+    val time = TestTimeSource()
+    private val clocks = Clocks(time) { 0 }
+    private val log = DecisionLog()
+    private val site = SiteState(clocks, log)
+    private var outcomes = emptyList<VersionPart>()
+    private val duty = RolloutDuty(
+        StoreClient("127.0.0.1:1", PlatformHttp()),
+        site,
+        PeerView("self", clocks, log),
+        clocks,
+        log,
+        Random(1),
+    ) { NodeReport("self", "a", 1, 1, 0, outcomes = outcomes) }
+
+    init {
+        val order = """{"service":"s","to":"v2","duration_s":10}"""
+        site.updateOperatorRows(listOf(StoreRow("op", "rollout/s", order.encodeToByteArray(), 1)))
+        duty.updateShares()
+    }
+
+    fun update(vararg parts: VersionPart) {
+        outcomes = parts.toList()
+        duty.updateShares()
+    }
+
+    /** The versions to which 100 requests go. */
+    fun selected() = (1..100).mapNotNull { duty.selectVersion(ServiceName("s"), setOf(OLD, NEW)) }.toSet()
+}
