--- a/review/standin/Instance.java
+++ b/review/standin/Instance.java
@@ -1,9 +1,7 @@
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -131,6 +129,13 @@
         return false;
     }
 
+    /** Why the process isn't ready, with the end of what it wrote. */
+    String describeFailedStart() throws IOException {
+        List<String> lines = Files.readAllLines(log());
+        String end = process.isAlive() ? "it runs" : "it ended with code " + process.exitValue();
+        return name + " is not ready, " + end + ":\n" + String.join("\n", lines.subList(Math.max(0, lines.size() - 40), lines.size()));
+    }
+
     /** Sends SIGTERM. */
     void terminate() {
         record.say("process %s gets SIGTERM", name);
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -31,7 +31,7 @@
     }
 
     Instance addInstance(String name, String zone) throws IOException {
-        Store.Door door = store.door();
+        Store.Door door = store.door(name);
         Instance instance = new Instance(root, folder, record, name, zone, door.address(), door.address());
         doors.add(door);
         instances.add(instance);
@@ -49,7 +49,7 @@
     void startAll() throws Exception {
         for (Instance instance : instances) instance.start();
         for (Instance instance : instances) {
-            if (!instance.awaitReady(20_000)) throw new IllegalStateException(instance.name + " is not ready after 20 s");
+            if (!instance.awaitReady(20_000)) throw new IllegalStateException(instance.describeFailedStart());
         }
         record.say("all processes are ready");
     }
--- a/review/standin/SilentWorker.java
+++ b/review/standin/SilentWorker.java
@@ -1,6 +1,5 @@
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -18,7 +17,6 @@
         rig.store.put("op", "config", Rig.config(1, Rig.route("report", "streaming", BUDGET_MS, 1_000, "llm", 2, true),
             Rig.service("llm"), "\"" + Rig.KEY + "\""));
         AtomicInteger running = new AtomicInteger();
-        ConcurrentHashMap<String, String> cancelled = new ConcurrentHashMap<>();
         Worker.Job job = (worker, request, answer) -> {
             String last = request.head.header("Last-Event-Id");
             int from = last == null ? 1 : Integer.parseInt(last.trim()) + 1;
@@ -38,7 +36,6 @@
                 answer.endStream();
                 rig.record.line("%s has sent all pieces of %s", worker.id, request.id);
             } catch (java.io.IOException e) {
-                cancelled.put(request.id, worker.id);
                 rig.record.line("%s: the channel of %s was closed by the machine", worker.id, request.id);
                 throw e;
             } finally {
@@ -76,13 +73,17 @@
         stopped.terminate();
         for (Thread thread : threads) thread.join();
         int lost = 0, whole = 0;
+        long latest = 0;
         for (Client.Result result : results) {
             if (result == null) continue;
             if (result.status == 200 && result.events() == EVENTS) whole++;
-            else if (result.status == 200 || result.end == Client.End.NO_ANSWER) lost++;
+            else if (result.status == 200 || result.end == Client.End.NO_ANSWER) {
+                lost++;
+                latest = Math.max(latest, result.millis);
+            }
         }
-        rig.record.say("%d of %d streams came to their end; the channels of %d ended without a complete answer, up to %d ms before their time budget",
-            whole, results.size(), lost, BUDGET_MS);
+        rig.record.say("%d of %d streams came to their end; the channels of %d ended without a complete answer, within %d ms of a time budget of %d ms",
+            whole, results.size(), lost, latest, BUDGET_MS);
         return lost > 0;
     }
 }
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -53,7 +53,14 @@
         /** Time of the newest call that asked to wait for changes, in nanoseconds; 0 without one. */
         volatile long waitedAt;
 
-        Door() throws IOException {
+        /** Time of the newest call that asked for changes without a wait, in nanoseconds; 0 without one. */
+        volatile long askedAt;
+
+        /** Name of the machine. */
+        final String name;
+
+        Door(String name) throws IOException {
+            this.name = name;
             server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
             server.setExecutor(threads);
             server.createContext("/", exchange -> {
@@ -86,8 +93,8 @@
         this.record = record;
     }
 
-    Door door() throws IOException {
-        return new Door();
+    Door door(String name) throws IOException {
+        return new Door(name);
     }
 
     /** Writes one row as the operator or a worker does; returns when the store has confirmed it. */
@@ -166,7 +173,10 @@
 
     private synchronized String feed(Map<String, String> query, Door door) {
         long after = Long.parseLong(query.get("after"));
-        if (Long.parseLong(query.getOrDefault("wait_ms", "0")) > 0) door.waitedAt = System.nanoTime();
+        boolean waits = Long.parseLong(query.getOrDefault("wait_ms", "0")) > 0;
+        if (waits) door.waitedAt = System.nanoTime();
+        else door.askedAt = System.nanoTime();
+        record.line("store   %s %s changes of %s after %d", door.name, waits ? "waits for" : "asks for", query.get("table"), after);
         long until = nowMs() + Math.min(30_000, Long.parseLong(query.getOrDefault("wait_ms", "0")));
         while (true) {
             if (door.mode == Mode.BUSY) return null;
--- a/review/standin/Survivors.java
+++ b/review/standin/Survivors.java
@@ -29,6 +29,21 @@
         Rig.run(args, Survivors::run);
     }
 
+    /** Waits until each machine that doesn't wait for changes has asked for them lately; it does so each 10 s. */
+    private static void awaitQuestions(Rig rig, Set<Instance> machines) throws InterruptedException {
+        double limit = rig.record.seconds() + 15;
+        while (rig.isTroubled && rig.record.seconds() < limit) {
+            boolean haveAsked = true;
+            for (int i = 0; i < MACHINES; i++) {
+                double age = (System.nanoTime() - rig.doors.get(i).askedAt) / 1e9;
+                if (machines.contains(rig.instances.get(i)) && (age < 1 || age > 5)) haveAsked = false;
+            }
+            if (haveAsked) return;
+            Thread.sleep(50);
+        }
+        Thread.sleep(2_000);
+    }
+
     private static void restart(Rig rig, List<Instance> killed) {
         try {
             Thread.sleep(DARK_MS);
@@ -99,7 +114,7 @@
                 }));
             }
         }
-        Thread.sleep(2_000);
+        awaitQuestions(rig, survivors);
         if (rig.isTroubled) {
             for (Instance instance : readers) instance.process.destroyForcibly();
             rig.record.say("%d of %d processes are killed at once", readers.size(), MACHINES);
