Log how changes arrive and how far a process lags

They showed neither on which way a departure reached an instance, nor that the instance was short of processor time.

Change: a line for each set of applied changes, with its source (feed, poll, forwarded, reload), a line and a gauge for the lag of a process. Logic is unchanged.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -56,6 +56,7 @@
     private val log = DecisionLog()
     private val registry = PrometheusRegistry()
     private val metrics = GatewayMetrics(registry)
+    private val lag = ProcessorLag(clocks, log)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default.limitedParallelism(WORKER_THREADS))
     private val http = PlatformHttp()
     private val store = StoreClient(settings.storeAddress, http)
@@ -143,11 +144,15 @@
         metrics.gauge("berylpoint_quarantined_parts", "Prompt parts for which requests are refused.") {
             quarantine.size.toDouble()
         }
+        metrics.gauge("berylpoint_processor_lag_seconds", "How late the process gets its turns on the processor.") {
+            lag.millis / MILLIS_PER_SECOND.toDouble()
+        }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
         watcher.start(scope)
         // Callers wait for the addresses to open, so everything that can start later does.
         front.start()
         scope.launch { reportExchange.start(this) }
+        scope.launch { restarting(log, "processor lag") { lag.measure() } }
         scope.launch { restarting(log, "duty lease") { leaseManager.run { isStopping } } }
         scope.launch { restarting(log, "duties") { runDuties() } }
         scope.launch { restarting(log, "idle timeout") { applyIdleTimeout() } }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -30,6 +30,9 @@
     private val update: (List<StoreRow>) -> Unit,
     private val onFailure: () -> Unit,
 ) {
+    /** Way on which changes of the table arrive; in log lines. */
+    private enum class Source { FEED, POLL, FORWARDED, RELOAD }
+
     /** What ends the wait of an instance that leaves the feed to another one. */
     private enum class Wakeup { PEER_AHEAD, SELECTED, INTERVAL }
 
@@ -58,12 +61,27 @@
         if (!isLoaded || rowRevision < part.after) return
         val rows = part.rows.map { StoreRow(table, it.key, it.value, it.revision, it.isDeleted) }
             .filter { it.revision > rowRevision }
+        logChanges(rows, Source.FORWARDED)
         update(rows)
         recentRows.add(rows)
         advanceRowRevision(rows)
         storeRevision = maxOf(storeRevision, rowRevision)
     }
 
+    private fun logChanges(rows: List<StoreRow>, source: Source) {
+        if (rows.isEmpty()) return
+        val revision = rows.maxOf { it.revision }
+        log.event(
+            "site",
+            "changes are applied",
+            "table" to table,
+            "source" to source.name.lowercase(),
+            "rows" to rows.size,
+            "revision" to revision,
+            "before" to rowRevision,
+        )
+    }
+
     /** Whether the store has not served the last call, so that changes can only come from peers. */
     val isCutOff: Boolean get() = failures > 0
 
@@ -104,6 +122,7 @@
                 return StoreError.NotDone("stale read: got revision ${it.revision}, already at $storeRevision")
             }
             synchronized(applyLock) {
+                logChanges(it.rows, Source.RELOAD)
                 replace(it.rows)
                 advanceRowRevision(it.rows)
                 // A row that was deleted meanwhile shows only by its absence. Peers have to read the table again too.
@@ -143,7 +162,7 @@
             peerAhead.cancel()
             result
         }
-        if (answer != null) return answer.fold({ errorOrReload(it) }, { applyChanges(it) })
+        if (answer != null) return answer.fold({ errorOrReload(it) }, { applyChanges(it, Source.FEED) })
         return pollIfBehind()
     }
 
@@ -193,7 +212,7 @@
     }
 
     private suspend fun poll(): StoreError? =
-        store.changes(table, storeRevision, Duration.ZERO).fold({ errorOrReload(it) }, { applyChanges(it) })
+        store.changes(table, storeRevision, Duration.ZERO).fold({ errorOrReload(it) }, { applyChanges(it, Source.POLL) })
 
     /** Returns [error], or null where reading the whole table again will recover from it. */
     private fun errorOrReload(error: StoreError): StoreError? {
@@ -208,9 +227,10 @@
         return null
     }
 
-    private fun applyChanges(rows: StoreRows): StoreError? {
+    private fun applyChanges(rows: StoreRows, source: Source): StoreError? {
         val previousRowRevision = rowRevision
         synchronized(applyLock) {
+            logChanges(rows.rows, source)
             update(rows.rows)
             recentRows.add(rows.rows.filter { it.revision > rowRevision })
             advanceRowRevision(rows.rows)
