Look at the server again right before the first byte

Callers' requests reached servers that this instance knew to leave (DRAIN, and EVAC for domains out of service).

Cause: departures were looked at when a server was selected. Between that and the first byte lie a hand-over between threads, at times a new connection, and for a move the end of the attempt before; on an instance that is short of processor time these take seconds. Right before the first byte only the caller and the deadline were looked at.

Change: the same check covers the server: the same process, known, not draining, not missing, in service, neither leaving by its own word nor asking to wait. The request then goes to another server without counting as a run or a retry. Such an end says nothing of the server's health: before, a caller that left in that time made the instance pass over a sound server.

Ruled out: a look only before the hand-over to the connections, since the wait for a connection and for the thread comes after it.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/ProcessorLag.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/ProcessorLag.kt
@@ -4,8 +4,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * How late this process gets its turns on the processor, measured by how late a timer ends. On an instance that is short
- * of processor time each hand-over between threads takes about this long.
+ * How late this process gets its turns on the processor, measured by how late a timer ends. On an instance that is
+ * short of processor time each hand-over between threads takes about this long.
  */
 public class ProcessorLag(private val clocks: Clocks, private val log: DecisionLog) {
     /** Steady-clock time at which the measurement in progress is due to end. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -1,6 +1,7 @@
 package org.berylpoint.entry.gateway.flow
 
 import org.berylpoint.entry.gateway.caller.CallerExchange
+import org.berylpoint.entry.gateway.server.SendObstacle
 import org.berylpoint.entry.gateway.server.ServerReservation
 import org.berylpoint.model.ErrorKind
 import org.berylpoint.policy.placement.AttemptSignal
@@ -77,7 +78,7 @@
         val serverExchange = flow.client.send(
             reservation.server.entry.id,
             reservation.server.entry.address,
-            request.toServerRequest(reservation, remainingMillis(), progress, ::isStillWanted),
+            request.toServerRequest(reservation, remainingMillis(), progress) { findObstacle(reservation) },
         )
         placement.markTried(reservation)
         val attempt =
@@ -93,7 +94,12 @@
         return conclude(reservation, end)
     }
 
-    private fun isStillWanted() = remainingMillis() > 0 && !exchange.isDisconnected()
+    /** What has happened since [reservation] was made that forbids to send the request. */
+    private fun findObstacle(reservation: ServerReservation): SendObstacle? = when {
+        remainingMillis() <= 0 || exchange.isDisconnected() -> SendObstacle.RESPONSE_NOT_WANTED
+        !pool.isUsable(reservation) -> SendObstacle.SERVER_NOT_USABLE
+        else -> null
+    }
 
     private fun recordEventGap(reservation: ServerReservation, millis: Double) = flow.versions.recordEventGap(
         request.service.name,
@@ -140,7 +146,7 @@
                 true
             }
             is AttemptEnd.Error -> if (mayRetryRun()) true else forwardError(end)
-            is AttemptEnd.NotRun -> resendOrRefuse(end)
+            is AttemptEnd.NotRun, is AttemptEnd.Withheld -> resendOrRefuse(end)
             is AttemptEnd.TimedOut -> {
                 failRequest(ErrorKind.DeadlineExceeded)
                 false
@@ -161,8 +167,8 @@
     }
 
     private fun count(reservation: ServerReservation, end: AttemptEnd) {
-        if (end is AttemptEnd.NotRun && !end.reachedServer) unsent++ else sends++
-        if (end is AttemptEnd.NotRun) return
+        if (end.isUnsent) unsent++ else sends++
+        if (end is AttemptEnd.NotRun || end is AttemptEnd.Withheld) return
         runs++
         if (end is AttemptEnd.CallerDisconnected) return
         if (!request.isStream) countUsage()
@@ -206,10 +212,10 @@
         !progress.lastEventHasNoId &&
         remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
 
-    private fun resendOrRefuse(end: AttemptEnd.NotRun): Boolean {
+    private fun resendOrRefuse(end: AttemptEnd): Boolean {
         val isWithinLimit = sends < request.route.maxAttempts + EXTRA_SENDS && unsent < MAX_UNSENT
         val mayResend = isWithinLimit && remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
-        if (mayResend && (!end.reachedServer || counts.tryRetry(request.service.name))) return true
+        if (mayResend && (end.isUnsent || counts.tryRetry(request.service.name))) return true
         when {
             runs > 0 -> failRequest(ErrorKind.BackendFailed)
             else -> refuseForCapacity(end.toString(), NOT_RUN_RETRY_AFTER_MILLIS)
@@ -297,7 +303,7 @@
         is AttemptEnd.Error, is AttemptEnd.Interrupted, is AttemptEnd.Stalled -> AttemptSignal.FAILED
         is AttemptEnd.NotRun -> if (end.reachedServer) AttemptSignal.REFUSED else AttemptSignal.UNREACHABLE
         is AttemptEnd.TimedOut -> AttemptSignal.FAILED.takeIf { end.hadNotStarted }
-        is AttemptEnd.CallerDisconnected -> null
+        is AttemptEnd.CallerDisconnected, is AttemptEnd.Withheld -> null
     }
 
     private companion object {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -74,6 +74,7 @@
             is ServerEvent.Data -> handleData(event, onStarted)
             is ServerEvent.End -> return completion()
             is ServerEvent.Failed -> return failure(event)
+            is ServerEvent.Withheld -> return AttemptEnd.Withheld(event.obstacle)
         }
         return null
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/toServerRequest.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/toServerRequest.kt
@@ -1,5 +1,6 @@
 package org.berylpoint.entry.gateway.flow
 
+import org.berylpoint.entry.gateway.server.SendObstacle
 import org.berylpoint.entry.gateway.server.ServerRequest
 import org.berylpoint.entry.gateway.server.ServerReservation
 import org.berylpoint.model.serving.RetrySafety
@@ -18,7 +19,7 @@
     reservation: ServerReservation,
     remainingMillis: Long,
     progress: ResponseProgress,
-    isStillWanted: () -> Boolean,
+    findObstacle: () -> SendObstacle?,
 ): ServerRequest {
     val listedInConnection = caller.header("Connection").orEmpty().split(',').map { it.trim().lowercase() }.toSet()
     val resumeAfter = progress.lastEventId
@@ -42,6 +43,6 @@
         caller.body,
         isStream,
         needsNewConnection = route.retrySafety == RetrySafety.AT_MOST_ONCE,
-        isStillWanted = isStillWanted,
+        findObstacle = findObstacle,
     )
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerExchange.kt
@@ -105,10 +105,15 @@
     }
 
     /** Ends the exchange without a complete response; ignored after the end. */
-    fun fail(isSent: Boolean, cause: String) {
+    fun fail(isSent: Boolean, cause: String) = endWith(ServerEvent.Failed(isSent, cause))
+
+    /** Ends the exchange before anything of the request was sent. */
+    fun withhold(obstacle: SendObstacle) = endWith(ServerEvent.Withheld(obstacle))
+
+    private fun endWith(event: ServerEvent) {
         memory.close()
         body.clear()
-        events.trySend(ServerEvent.Failed(isSent, cause))
+        events.trySend(event)
         events.close()
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerConnection.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerConnection.kt
@@ -115,14 +115,17 @@
 
     private fun write() {
         val writer = writer ?: return
-        // Some time may have passed since the request was passed on: for a connection, or for lack of processor time.
-        if (!writer.isStarted && exchange?.request?.isStillWanted?.invoke() == false) {
-            return onFailure(IOException("the response is not wanted any more"))
-        }
+        if (!writer.isStarted) exchange?.request?.findObstacle?.invoke()?.let { return withhold(it) }
         writer.writeTo(channel, loop.buffer)
         key?.interestOps(SelectionKey.OP_READ or if (writer.isComplete) 0 else SelectionKey.OP_WRITE)
     }
 
+    private fun withhold(obstacle: SendObstacle) {
+        val withheld = exchange
+        close()
+        withheld?.withhold(obstacle)
+    }
+
     private fun read() {
         val input = loop.buffer.clear()
         val count = channel.read(input)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerExchange.kt
@@ -15,13 +15,13 @@
     public val isStream: Boolean,
     /** Whether to open a new connection, so that a response to an earlier request can't be mistaken for this one's. */
     public val needsNewConnection: Boolean,
-    /** Whether the response is still wanted, asked when the request is about to be sent, on any thread. */
-    public val isStillWanted: () -> Boolean = { true },
+    /** Finds what forbids to send the request now; asked right before its first byte, on any thread. */
+    public val findObstacle: () -> SendObstacle? = { null },
 )
 
 /**
  * An event of the response to a [ServerRequest], in order: [Head], any number of [Data], and [End]; or [Failed] at any
- * point.
+ * point; or only [Withheld].
  */
 public sealed interface ServerEvent {
     /** Status, and headers without the hop-by-hop ones. */
@@ -49,6 +49,9 @@
 
     /** The response will not be completed. If not [isSent], the server got no byte of the request. */
     public class Failed(public val isSent: Boolean, public val cause: String) : ServerEvent
+
+    /** Nothing of the request was sent, for a reason that says nothing of the connection to the server. */
+    public class Withheld(public val obstacle: SendObstacle) : ServerEvent
 }
 
 /** One request in progress at a server. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
@@ -90,6 +90,12 @@
         return reserveAmong(if (version == null) all else all.filter { it.entry.version == version }, service, demand)
     }
 
+    /** Whether the server of [reservation] is still the same process and takes requests. */
+    public fun isUsable(reservation: ServerReservation): Boolean {
+        val entry = reservation.server.entry
+        return site.view.isUsable(entry) && !notices.isLeaving(entry) && notices.waitMillis(entry) == 0L
+    }
+
     private fun selectVersion(service: Service, servers: List<ObservedServer>): VersionName? {
         val versions = servers.map { it.entry.version }.toSet()
         return if (versions.size > 1) versionSelector.selectVersion(service.name, versions) else null
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteView.kt
@@ -33,12 +33,19 @@
      * missing are included only if they are most of the service: the entries have lapsed then.
      */
     public fun usableServers(service: ServiceName): List<ObservedServer> {
-        val active = servers.values.filter {
-            it.entry.service == service && !it.entry.isDraining && it.entry.domain !in outOfServiceDomains
-        }
+        val active = servers.values.filter { it.entry.service == service && isActive(it.entry) }
         val present = active.filterNot { it.entry.id in missingServers }
         return if (present.size * 2 >= active.size) present else active
     }
+
+    /** Whether [server], which was selected earlier, may still receive new requests: it is the same process. */
+    public fun isUsable(server: RegisteredServer): Boolean {
+        val current = servers[server.id]?.entry ?: return false
+        if (current.startedAtMillis != server.startedAtMillis || !isActive(current)) return false
+        return current.id !in missingServers || usableServers(current.service).any { it.entry.id == current.id }
+    }
+
+    private fun isActive(server: RegisteredServer) = !server.isDraining && server.domain !in outOfServiceDomains
 }
 
 /** A server's entry, with the steady-clock time at which this process read it and the revision of its row. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -211,8 +211,9 @@
         return poll()
     }
 
-    private suspend fun poll(): StoreError? =
-        store.changes(table, storeRevision, Duration.ZERO).fold({ errorOrReload(it) }, { applyChanges(it, Source.POLL) })
+    private suspend fun poll(): StoreError? = store.changes(table, storeRevision, Duration.ZERO).fold({
+        errorOrReload(it)
+    }, { applyChanges(it, Source.POLL) })
 
     /** Returns [error], or null where reading the whole table again will recover from it. */
     private fun errorOrReload(error: StoreError): StoreError? {
--- a/entry/src/test/kotlin/org/berylpoint/entry/DerivedTextTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/DerivedTextTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.berylpoint.entry.gateway.flow.AttemptEnd
+import org.berylpoint.entry.gateway.server.SendObstacle
 import org.berylpoint.entry.http.toJson
 import org.berylpoint.entry.member.Member
 import org.berylpoint.entry.settings.SettingKeys
@@ -27,11 +28,12 @@
                 AttemptEnd.NotRun(true, ""),
                 AttemptEnd.Interrupted(true, false, ""),
                 AttemptEnd.Stalled(""),
+                AttemptEnd.Withheld(SendObstacle.SERVER_NOT_USABLE),
                 AttemptEnd.TimedOut(true),
                 AttemptEnd.CallerDisconnected,
             )
             ends.map { it.metricLabel }.toSet() shouldBe
-                setOf("Complete", "Error", "NotRun", "Broke", "TimedOut", "CallerLeft")
+                setOf("Complete", "Error", "NotRun", "Broke", "TimedOut", "CallerLeft", "Withheld")
             ends.map { it.javaClass }.toSet() shouldBe AttemptEnd::class.java.permittedSubclasses.toSet()
         }
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -47,6 +47,9 @@
     private val notices = ServerNotices(clocks, log)
     val pool = ServerPool("self", FailureDomain("a"), clocks, site, peers, { _, _ -> null }, notices, random)
 
+    /** Time until the first byte of a request is sent, as when a connection has to be opened. */
+    var sendDelayMillis = 0L
+
     /** Requests in the order in which they were sent to servers, with the server's id. */
     val sent = mutableListOf<Pair<String, ServerRequest>>()
     val cancelled = mutableListOf<String>()
@@ -62,10 +65,7 @@
     /** Selects the script of a send by the request, instead of [scripts]. */
     var scriptFor: ((ServerRequest) -> List<ScriptedEvent>)? = null
 
-    private val client = ServerClient { id, _, request ->
-        sent += id.value to request
-        ScriptedExchange(id, request, scriptFor?.invoke(request) ?: nextScript())
-    }
+    private val client = ServerClient { id, _, request -> ScriptedExchange(id, request) }
 
     private fun nextScript() = if (scripts.size > 1) scripts.removeFirst() else scripts.first()
 
@@ -108,15 +108,34 @@
     /** Tokens to prefill that count as demand so far. */
     fun prefillTokens(): Long = counts.addTo(NodeReport("self", "a", 1, 1, 1)).demands.sumOf { it.prefillTokens }
 
-    private inner class ScriptedExchange(
-        private val id: BackendServerId,
-        private val request: ServerRequest,
-        script: List<ScriptedEvent>,
-    ) : ServerExchange {
-        private val remaining = ArrayDeque(script)
+    private inner class ScriptedExchange(private val id: BackendServerId, private val request: ServerRequest) :
+        ServerExchange {
+        private val sendsAtMillis = clocks.steadyMillis + sendDelayMillis
+        private val remaining = ArrayDeque<ScriptedEvent>()
         private var waitedMillis = 0L
+        private var isSent = false
+
+        init {
+            if (sendDelayMillis == 0L) send()
+        }
 
         override suspend fun next(timeout: Duration): ServerEvent? {
+            if (isSent) return nextOfScript(timeout)
+            val wait = sendsAtMillis - clocks.steadyMillis
+            delay(minOf(wait, timeout.inWholeMilliseconds).milliseconds)
+            if (wait > timeout.inWholeMilliseconds) return null
+            request.findObstacle()?.let { return ServerEvent.Withheld(it) }
+            send()
+            return null
+        }
+
+        private fun send() {
+            isSent = true
+            sent += id.value to request
+            remaining += scriptFor?.invoke(request) ?: nextScript()
+        }
+
+        private suspend fun nextOfScript(timeout: Duration): ServerEvent? {
             val next = remaining.firstOrNull()
             val dueInMillis = next?.let { it.afterMillis - waitedMillis } ?: Long.MAX_VALUE
             if (dueInMillis > timeout.inWholeMilliseconds) {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/StreamFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/StreamFlowTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import org.berylpoint.entry.gateway.server.SendObstacle
 import kotlin.time.Duration.Companion.seconds
 
 /** Streams over several attempts: how they go on, move to another server, and end. */
@@ -165,12 +166,12 @@
                 var hasLeft = false
                 RecordingCaller("/draft/1") { hasLeft }.also { fixture.flow.serve(it) }
                 val request = fixture.sent.single().second
-                request.isStillWanted() shouldBe true
+                request.findObstacle() shouldBe null
                 hasLeft = true
-                request.isStillWanted() shouldBe false
+                request.findObstacle() shouldBe SendObstacle.RESPONSE_NOT_WANTED
                 hasLeft = false
                 delay(12.seconds)
-                request.isStillWanted() shouldBe false
+                request.findObstacle() shouldBe SendObstacle.RESPONSE_NOT_WANTED
             }
         }
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
@@ -27,16 +27,20 @@
             }
         }
 
-        // Guards against requests that reach a server long after they were passed on, when nobody wants the response.
-        test("a request that is not wanted any more is not sent, on a new connection and on a used one") {
-            val response = "HTTP/1.1 200 OK\r\nX-Berylpoint-Request-Id: mine\r\nContent-Length: 0\r\n\r\n"
-            ScriptedTcpServer { while (readRequest() != null) send(response) }.use { server ->
-                HttpServerClient().use { client ->
-                    fun last(isWanted: Boolean) = eventsOf(client, server.address, request("/a") { isWanted }).last()
-                    last(isWanted = false).shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe false
-                    last(isWanted = true).shouldBeInstanceOf<ServerEvent.End>()
-                    last(isWanted = false).shouldBeInstanceOf<ServerEvent.Failed>().isSent shouldBe false
-                    server.requests shouldHaveSize 1
+        // Guards against requests that reach a server long after they were passed on, when nobody wants the response
+        // any more (GONE) or the server leaves (DRAIN).
+        for (obstacle in SendObstacle.entries) {
+            test("a request is not sent on a new connection nor on a used one: ${obstacle.description}") {
+                val response = "HTTP/1.1 200 OK\r\nX-Berylpoint-Request-Id: mine\r\nContent-Length: 0\r\n\r\n"
+                ScriptedTcpServer { while (readRequest() != null) send(response) }.use { server ->
+                    HttpServerClient().use { client ->
+                        fun last(found: SendObstacle?) =
+                            eventsOf(client, server.address, request("/a") { found }).last()
+                        last(obstacle).shouldBeInstanceOf<ServerEvent.Withheld>().obstacle shouldBe obstacle
+                        last(null).shouldBeInstanceOf<ServerEvent.End>()
+                        last(obstacle).shouldBeInstanceOf<ServerEvent.Withheld>().obstacle shouldBe obstacle
+                        server.requests shouldHaveSize 1
+                    }
                 }
             }
         }
@@ -128,10 +132,17 @@
         }
     })
 
-private fun request(target: String, isStream: Boolean = false, isStillWanted: () -> Boolean = { true }): ServerRequest {
-    val headers = listOf("Host" to "h.example")
-    return ServerRequest("mine", "POST", target, headers, "body".encodeToByteArray(), isStream, false, isStillWanted)
-}
+private fun request(target: String, isStream: Boolean = false, findObstacle: () -> SendObstacle? = { null }) =
+    ServerRequest(
+        "mine",
+        "POST",
+        target,
+        listOf("Host" to "h.example"),
+        "body".encodeToByteArray(),
+        isStream,
+        needsNewConnection = false,
+        findObstacle,
+    )
 
 private fun collect(server: RawServer, request: ServerRequest) = collect("127.0.0.1:${server.port}", request)
 
@@ -141,7 +152,8 @@
 private fun eventsOf(client: HttpServerClient, address: String, request: ServerRequest): List<ServerEvent> {
     val exchange = client.send(BackendServerId("s"), address, request)
     return generateSequence { runBlocking { exchange.next(5_000.milliseconds) } }
-        .takeWhileInclusive { it !is ServerEvent.End && it !is ServerEvent.Failed }.toList()
+        .takeWhileInclusive { it !is ServerEvent.End && it !is ServerEvent.Failed && it !is ServerEvent.Withheld }
+        .toList()
 }
 
 private fun <T> Sequence<T>.takeWhileInclusive(condition: (T) -> Boolean): Sequence<T> = sequence {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerRefusalCopyTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerRefusalCopyTest.kt
@@ -68,6 +68,7 @@
             is ServerEvent.Data -> Unit
             is ServerEvent.End -> return if (isNotRun) "not run" else "ran"
             is ServerEvent.Failed -> return if (event.isSent && !isNotRun) "may have run" else "not run"
+            is ServerEvent.Withheld -> error("withheld: ${event.obstacle}")
         }
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerResponseFaultTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/ServerResponseFaultTest.kt
@@ -310,6 +310,7 @@
             is ServerEvent.Data -> body.append(event.bytes.decodeToString())
             is ServerEvent.End -> return body.toString()
             is ServerEvent.Failed -> return FAILED
+            is ServerEvent.Withheld -> error("withheld: ${event.obstacle}")
             null -> error("no event within 10 s")
         }
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/UndelimitedStreamTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/UndelimitedStreamTest.kt
@@ -65,6 +65,7 @@
             is ServerEvent.Data -> add(event.bytes.decodeToString())
             is ServerEvent.End -> return@buildList Unit.also { add("end") }
             is ServerEvent.Failed -> return@buildList Unit.also { add("failed") }
+            is ServerEvent.Withheld -> error("withheld: ${event.obstacle}")
             null -> error("no event within 5 s")
         }
     }
