Send the first change of a quiet table to instances that the store turns away

An instance that the store turned away went on using servers that had left, keys that were withdrawn and domains out of service (DRAIN, CONFIG, EVAC), until the store served it again.

Cause: a peer sends it the changes that it lacks, but compared two kinds of revision: the instance names the revision of the newest row of a table, the peer knows all changes since the store's revision at its own read, which counts writes to every table. Unless the table's newest row was the store's last write before that read, the first was smaller than the second, and the peer took the changes in between for unknown. So nothing was sent, for as long as it lasted. The operators' table changes seldom, so there it was the usual case.

Change: the peer names the revision since which it knows all changes, and the receiver, which knows up to which revision of the store it has applied this table, decides whether they follow. Reports leave out tables that were not read yet, for which changes are of no use.

Measured: StoreWatcherTest, 'learn of the first change of a quiet table', on the code before: neither of the two instances had learned it after 1 s (and nothing later would have brought it); now all have. The older test of this way changed the table just before it was read, which hid the fault.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/RecentRows.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/RecentRows.kt
@@ -7,7 +7,8 @@
     private val rows = ArrayDeque<StoreRow>()
 
     /** All changes after this revision are in [rows]. */
-    private var completeAfter = 0L
+    var completeAfter = 0L
+        private set
 
     /** Adds changes that are newer than all added before. */
     fun add(changes: List<StoreRow>) {
@@ -22,11 +23,10 @@
     }
 
     /**
-     * The changes after [revision], as many of the oldest as [MAX_BYTES] hold; null if there are none, or if some of
-     * them are not known any more.
+     * The known changes after [revision], as many of the oldest as [MAX_BYTES] hold; null if there are none. Changes up
+     * to [completeAfter] are not among them.
      */
     fun after(revision: Long): List<StoreRow>? {
-        if (revision < completeAfter) return null
         var bytes = 0
         return rows.filter { it.revision > revision }
             .takeWhile {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -29,9 +29,9 @@
     private val operatorFeed = feed(StoreNames.OPERATORS, state::replaceOperatorRows, state::updateOperatorRows)
     private val serverFeed = feed(StoreNames.SERVERS, state::replaceServerRows, state::updateServerRows)
 
-    /** Revision of the newest row applied, by table. */
+    /** Revision of the newest row applied, by table; tables that have not been read yet are missing. */
     public val revisions: Map<String, Long>
-        get() = feeds.associate { it.table to it.rowRevision }
+        get() = feeds.filter { it.wasLoaded }.associate { it.table to it.rowRevision }
 
     /** Whether the store does not serve this instance, so that it depends on its peers for changes. */
     public val isCutOff: Boolean get() = feeds.any { it.isCutOff }
@@ -59,7 +59,7 @@
 
     /** The changes that a peer lacks which has applied those up to [revisions], by table, as far as they are known. */
     public fun changesAfter(revisions: Map<String, Long>): List<RowsPart> =
-        feeds.mapNotNull { it.changesAfter(revisions[it.table] ?: 0) }
+        feeds.mapNotNull { feed -> revisions[feed.table]?.let(feed::changesAfter) }
 
     private fun feed(table: String, replace: (List<StoreRow>) -> Unit, update: (List<StoreRow>) -> Unit) =
         TableFeed(table, store, feedReaders, log, replace, update, state::recordStoreFailure)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -46,7 +46,11 @@
     var rowRevision = 0L
         private set
     private var isLoaded = false
-    private var wasLoaded = false
+
+    /** Whether the table has been read whole at least once. */
+    @Volatile
+    var wasLoaded = false
+        private set
 
     @Volatile
     private var failures = 0
@@ -58,7 +62,8 @@
     private var peerRevision = 0L
 
     fun applyForwarded(part: RowsPart) = synchronized(applyLock) {
-        if (!isLoaded || rowRevision < part.after) return
+        // Writes to other tables count here: there was no change of this table between its last row and that revision.
+        if (!isLoaded || storeRevision < part.after) return
         val rows = part.rows.map { StoreRow(table, it.key, it.value, it.revision, it.isDeleted) }
             .filter { it.revision > rowRevision }
         logChanges(rows, Source.FORWARDED)
@@ -87,8 +92,9 @@
 
     /** The changes that a peer lacks which has applied all up to [revision], as far as known; null for none. */
     fun changesAfter(revision: Long): RowsPart? = synchronized(applyLock) {
+        if (revision >= rowRevision) return null
         val rows = recentRows.after(revision) ?: return null
-        RowsPart(table, revision, rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) })
+        RowsPart(table, maxOf(revision, recentRows.completeAfter), rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) })
     }
 
     /** Records that a peer has applied all changes up to [revision]. */
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -75,6 +75,22 @@
             }
         }
 
+        // Guards against domains out of service, withdrawn keys and departures that an instance never learns of (EVAC,
+        // CONFIG, DRAIN): peers sent it only changes of tables that had changed shortly before they were read.
+        test("instances that the store turns away learn of the first change of a quiet table") {
+            runTest {
+                val tables = FakeTables(this)
+                repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
+                val instances = FollowingInstances(this, tables, perDomain = 2)
+                delay(3.seconds)
+                tables.rejected += instances.all.filter { it.domain == "a" }.map { it.name }
+                delay(1.seconds)
+                tables.put("op", "evacuate/z", "{}".encodeToByteArray())
+                delay(1.seconds)
+                instances.all.map { it.state.view.outOfServiceDomains.size } shouldBe listOf(1, 1, 1, 1)
+            }
+        }
+
         // Guards against instances that stop following the servers because another writer left one odd entry there.
         test("instances go on following the servers after an entry that can't be read") {
             runTest {
