Send the changes that an instance lacks before it asks for them

Requests reached departed servers and were handled by old configurations (DRAIN, CONFIG) on instances short of processor time.

Cause: rows that were not forwarded, or whose datagram was lost, were read by a call to the store. From the report that shows a newer revision to the applied rows lie the hand-over to a coroutine, a wait, a thread of the HTTP client, its answer and the coroutine again. On a starved instance each turn takes as long as all threads of requests together: 2.2 s to 3 s in all.

Change: a peer sends what a report shows to be missing, as it did for instances that the store turns away. A datagram is applied on the thread that reads it, in one turn. The call to the store stays for what no peer knows.

Measured: StoreWatcherTest, 'learns from its peers what it has missed', failed on the code before: the departures were not known after 1 s.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -243,9 +243,7 @@
         quarantine.mergeReport(report)
         report.rows?.let(watcher::applyForwardedRows)
         watcher.notePeerRevisions(report.revisions)
-        if (report.isCutOffFromStore && feedReaders.isHelperOf(report.name)) {
-            watcher.changesAfter(report.revisions).forEach { reportExchange.sendRows(it, report.address) }
-        }
+        watcher.changesFor(report).forEach { reportExchange.sendRows(it, report.address) }
     }
 
     private fun ownReport(): NodeReport = buildReport(lastSequence)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/FeedReaderSelection.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/FeedReaderSelection.kt
@@ -32,7 +32,7 @@
         return if (rank < FREQUENT_READERS) SHORT_WAIT else LONG_WAIT
     }
 
-    /** Whether this instance is the one that sends changed rows to [peer], which the store does not serve. */
+    /** Whether this instance is the one that sends changed rows to [peer] when it lacks some. */
     public fun isHelperOf(peer: String): Boolean =
         Rendezvous.first(peer, servedPeers().map { it.name }.filter { it != peer } + self) { it } == self
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.entry.gateway.restarting
+import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.RowsPart
 import org.berylpoint.platform.store.StoreRow
 import org.berylpoint.platform.store.TableReader
@@ -15,9 +16,9 @@
 /**
  * Keeps [state] up to date with the store.
  *
- * In each failure domain one instance reads the tables' feeds and forwards changed rows to the others. These poll the
- * store themselves when a peer has applied a newer row than they have, and at a long interval in any case. An instance
- * that the store does not serve gets what it lacks from a peer, again and again until its reports show that it has it.
+ * In each failure domain one instance reads the tables' feeds and forwards changed rows to the others. An instance that
+ * lacks rows all the same gets them from a peer, again and again until its reports show that it has them. It also polls
+ * the store itself when a peer has applied a newer row than it has, and at a long interval in any case.
  */
 public class StoreWatcher(
     private val store: TableReader,
@@ -57,8 +58,19 @@
         feeds.firstOrNull { it.table == part.table }?.applyForwarded(part)
     }
 
+    /**
+     * The changes that the sender of [report] lacks, as far as they are known, if it is this instance that sends them.
+     *
+     * The peer could read them from the store, but may not be served there, or be so short of processor time that a
+     * call takes it seconds, while a datagram is applied as soon as it is read.
+     */
+    public fun changesFor(report: NodeReport): List<RowsPart> {
+        val changes = changesAfter(report.revisions)
+        return if (changes.isNotEmpty() && feedReaders.isHelperOf(report.name)) changes else emptyList()
+    }
+
     /** The changes that a peer lacks which has applied those up to [revisions], by table, as far as they are known. */
-    public fun changesAfter(revisions: Map<String, Long>): List<RowsPart> =
+    internal fun changesAfter(revisions: Map<String, Long>): List<RowsPart> =
         feeds.mapNotNull { feed -> revisions[feed.table]?.let(feed::changesAfter) }
 
     private fun feed(table: String, replace: (List<StoreRow>) -> Unit, update: (List<StoreRow>) -> Unit) =
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FakeTables.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FakeTables.kt
@@ -13,6 +13,7 @@
 import org.berylpoint.platform.store.TableReader
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The tables of the store in virtual time, with the faults that tests cause. */
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -29,6 +30,9 @@
     /** Instances whose calls fail. */
     val rejected = mutableSetOf<String>()
 
+    /** Instances that get their answers late, as when they are short of processor time. */
+    val starved = mutableSetOf<String>()
+
     fun put(table: String, key: String, value: ByteArray) = apply(StoreRow(table, key, value, ++revision))
 
     fun delete(table: String, key: String) = apply(StoreRow(table, key, ByteArray(0), ++revision, isDeleted = true))
@@ -48,13 +52,13 @@
     /** The store as [instance] reaches it. */
     fun reader(instance: String): TableReader = object : TableReader {
         override suspend fun read(table: String): Either<StoreError, StoreRows> {
-            delay(CALL_TIME)
+            delay(if (instance in starved) STARVED_CALL_TIME else CALL_TIME)
             if (instance in rejected) return REJECTION.left()
             return StoreRows(rows.values.filter { it.table == table }, revision, 0).right()
         }
 
         override suspend fun changes(table: String, revision: Long, wait: Duration): Either<StoreError, StoreRows> {
-            delay(CALL_TIME)
+            delay(if (instance in starved) STARVED_CALL_TIME else CALL_TIME)
             val deadline = scope.currentTime + wait.inWholeMilliseconds
             val cutsAtStart = cuts
             while (true) {
@@ -73,6 +77,7 @@
 
     private companion object {
         val CALL_TIME = 5.milliseconds
+        val STARVED_CALL_TIME = 3.seconds
         val REJECTION = StoreError.NotDone("status 503")
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -28,6 +28,9 @@
         private var sequence = 0L
         private val jobs = listOf(watcher.start(scope.backgroundScope), scope.backgroundScope.launch { sendReports() })
 
+        /** Whether the rows that the reader of its failure domain forwards to it are lost. */
+        var losesForwardedRows = false
+
         val isReader: Boolean get() = feedReaders.longPollWait() != null
 
         /** Whether a request to [SERVICE] may be sent to the server [id]. */
@@ -61,15 +64,14 @@
             if (peers.accept(report) == null) return
             report.rows?.let(watcher::applyForwardedRows)
             watcher.notePeerRevisions(report.revisions)
-            if (!report.isCutOffFromStore || !feedReaders.isHelperOf(report.name)) return
-            watcher.changesAfter(report.revisions).forEach { rows ->
+            watcher.changesFor(report).forEach { rows ->
                 all.first { it.name == report.name }.receive(report(rows))
             }
         }
 
         private fun forward(rows: RowsPart) {
             val report = report(rows)
-            all.filter { it.domain == domain && it !== this }.forEach { it.receive(report) }
+            all.filter { it.domain == domain && it !== this && !it.losesForwardedRows }.forEach { it.receive(report) }
         }
     }
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -75,6 +75,24 @@
             }
         }
 
+        // Guards against requests to departed servers and with withdrawn keys (DRAIN, CONFIG): an instance that is short
+        // of processor time learned of a change that it had missed only by a call of its own, which takes it seconds.
+        test("an instance whose own calls take long learns from its peers what it has missed") {
+            runTest {
+                val tables = FakeTables(this)
+                repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
+                val instances = FollowingInstances(this, tables, perDomain = 3)
+                delay(3.seconds)
+                val starved = instances.all.first { !it.isReader }
+                tables.starved += starved.name
+                starved.losesForwardedRows = true
+                tables.put("servers", "s1", FollowingInstances.server(state = "draining"))
+                tables.delete("servers", "s2")
+                delay(1.seconds)
+                (starved.uses("s1") to starved.uses("s2")) shouldBe (false to false)
+            }
+        }
+
         // Guards against domains out of service, withdrawn keys and departures that an instance never learns of (EVAC,
         // CONFIG, DRAIN): peers sent it only changes of tables that had changed shortly before they were read.
         test("instances that the store turns away learn of the first change of a quiet table") {
