Refuse a share of the requests while an instance lacks processor time

What it has to learn of departures waits with the requests.

Change: a lag that lasts (the smallest of a quarter of a second) lowers the share of requests that are accepted; the others are refused at once as not run, so that another instance may serve them.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -36,6 +36,7 @@
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
 import org.berylpoint.platform.wire.StoreNames
+import org.berylpoint.policy.overload.LoadShedder
 import java.net.InetSocketAddress
 import java.nio.channels.ServerSocketChannel
 import kotlin.random.Random
@@ -56,7 +57,8 @@
     private val log = DecisionLog()
     private val registry = PrometheusRegistry()
     private val metrics = GatewayMetrics(registry)
-    private val lag = ProcessorLag(clocks, log)
+    private val shedder = LoadShedder(random)
+    private val lag = ProcessorLag(clocks, log, shedder::recordLag)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default.limitedParallelism(WORKER_THREADS))
     private val http = PlatformHttp()
     private val store = StoreClient(settings.storeAddress, http)
@@ -77,6 +79,7 @@
         RequestFlow(
             clocks, site, pool, client, notices, counts, versions, quarantine, log, metrics, random,
             isLeaving = { refusesRequests },
+            acceptsLoad = shedder::accepts,
             remainingMillis = { stopsAtMillis?.let { it - clocks.steadyMillis } },
         )
     private val leaseManager = DutyLeaseManager(
@@ -147,6 +150,9 @@
         metrics.gauge("berylpoint_processor_lag_seconds", "How late the process gets its turns on the processor.") {
             lag.millis / MILLIS_PER_SECOND.toDouble()
         }
+        metrics.gauge("berylpoint_accepted_share", "Share of requests that is accepted; below 1 under overload.") {
+            shedder.acceptedShare
+        }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
         watcher.start(scope)
         // Callers wait for the addresses to open, so everything that can start later does.
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/ProcessorLag.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/ProcessorLag.kt
@@ -7,7 +7,11 @@
  * How late this process gets its turns on the processor, measured by how late a timer ends. On an instance that is
  * short of processor time each hand-over between threads takes about this long.
  */
-public class ProcessorLag(private val clocks: Clocks, private val log: DecisionLog) {
+public class ProcessorLag(
+    private val clocks: Clocks,
+    private val log: DecisionLog,
+    private val onMeasured: (lagMillis: Long, nowMillis: Long) -> Unit,
+) {
     /** Steady-clock time at which the measurement in progress is due to end. */
     @Volatile
     private var dueAtMillis = Long.MAX_VALUE
@@ -24,7 +28,9 @@
         while (true) {
             dueAtMillis = clocks.steadyMillis + INTERVAL.inWholeMilliseconds
             delay(INTERVAL)
-            lastMillis = (clocks.steadyMillis - dueAtMillis).coerceAtLeast(0)
+            val now = clocks.steadyMillis
+            lastMillis = (now - dueAtMillis).coerceAtLeast(0)
+            onMeasured(lastMillis, now)
             if (lastMillis >= LOGGED_MILLIS) logLag()
         }
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -31,6 +31,8 @@
     random: Random,
     /** Whether the instance is about to stop, so that a new request might be cut off. */
     private val isLeaving: () -> Boolean = { false },
+    /** Whether the instance has the processor time for one more request. */
+    private val acceptsLoad: () -> Boolean = { true },
     /** Milliseconds until the process ends; null unless it is stopping. */
     private val remainingMillis: () -> Long? = { null },
 ) {
@@ -57,6 +59,7 @@
         inFlightCount.incrementAndGet()
         try {
             if (isLeaving()) return refuse(exchange, stopping("the instance is stopping"), arrivedAtMillis)
+            if (!acceptsLoad()) return refuse(exchange, overloaded(), arrivedAtMillis)
             awaitConfiguration()
             context.admission.admit(exchange.request, arrivedAtMillis).fold(
                 ifLeft = { refuse(exchange, it, arrivedAtMillis) },
@@ -83,6 +86,9 @@
 
     private fun stopping(cause: String) = Refusal(ErrorKind.ShuttingDown, cause, STOPPING_RETRY_AFTER_MILLIS)
 
+    private fun overloaded() =
+        Refusal(ErrorKind.NoCapacity, "the instance is short of processor time", OVERLOADED_RETRY_AFTER_MILLIS)
+
     private fun refuse(exchange: CallerExchange, refusal: Refusal, arrivedAtMillis: Long) =
         context.refuse(exchange, exchange.request.header(RequestHeaders.REQUEST_ID).orEmpty(), refusal, arrivedAtMillis)
 
@@ -101,5 +107,8 @@
 
         /** Short, since another instance can serve the request at once. */
         const val STOPPING_RETRY_AFTER_MILLIS = 10L
+
+        /** Short, since another instance may serve the request, but long enough to keep repeats apart. */
+        const val OVERLOADED_RETRY_AFTER_MILLIS = 100L
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -94,7 +94,8 @@
     fun changesAfter(revision: Long): RowsPart? = synchronized(applyLock) {
         if (revision >= rowRevision) return null
         val rows = recentRows.after(revision) ?: return null
-        RowsPart(table, maxOf(revision, recentRows.completeAfter), rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) })
+        val parts = rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }
+        RowsPart(table, maxOf(revision, recentRows.completeAfter), parts)
     }
 
     /** Records that a peer has applied all changes up to [revision]. */
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -55,6 +55,7 @@
     val cancelled = mutableListOf<String>()
 
     var isLeaving = false
+    var acceptsLoad = true
 
     /** Time until the instance ends; null unless it is stopping. */
     var remainingMillis: Long? = null
@@ -84,6 +85,7 @@
         GatewayMetrics(PrometheusRegistry()),
         random,
         isLeaving = { isLeaving },
+        acceptsLoad = { acceptsLoad },
         remainingMillis = { remainingMillis },
     )
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -167,6 +167,22 @@
             }
         }
 
+        // Guards against requests that wait for an overloaded instance until they are late, instead of going elsewhere.
+        test("an instance that is short of processor time refuses new requests at once, as not run") {
+            runTest {
+                val fixture = RequestFlowFixture(this)
+                fixture.scripts += okResponse()
+                fixture.acceptsLoad = false
+                val refused = RecordingCaller("/book/1").also { fixture.flow.serve(it) }
+                refused.status shouldBe 503
+                refused.header("Retry-After") shouldBe "0.10"
+                currentTime shouldBe 0
+                fixture.sent.size shouldBe 0
+                fixture.acceptsLoad = true
+                RecordingCaller("/book/1").also { fixture.flow.serve(it) }.status shouldBe 200
+            }
+        }
+
         // Guards against requests that are accepted late in the grace period, run, and are cut off at its end.
         test("a stopping instance refuses what would not end in time, and serves the rest") {
             runTest {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -75,8 +75,8 @@
             }
         }
 
-        // Guards against requests to departed servers and with withdrawn keys (DRAIN, CONFIG): an instance that is short
-        // of processor time learned of a change that it had missed only by a call of its own, which takes it seconds.
+        // Guards against requests to departed servers and with withdrawn keys (DRAIN, CONFIG): an instance that is
+        // short of processor time learned of a change that it had missed only by a call, which takes it seconds.
         test("an instance whose own calls take long learns from its peers what it has missed") {
             runTest {
                 val tables = FakeTables(this)
--- /dev/null
+++ b/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
@@ -0,0 +1,51 @@
+package org.berylpoint.policy.overload
+
+import kotlin.random.Random
+
+/**
+ * Refuses a share of the requests while an instance has less processor time than they need.
+ *
+ * Without it, an overloaded instance accepts everything and serves nothing in time, since each request waits for all the
+ * others; what the instance has to learn from its peers and from the store waits with them.
+ *
+ * The pattern is controlled delay (CoDel): the smallest lag within an interval tells a standing queue from a burst or a
+ * short stall. The share of requests that are accepted falls while there is one, and grows again by a factor in each interval.
+ */
+public class LoadShedder(private val random: Random) {
+    private var intervalStartMillis = 0L
+    private var smallestLagMillis = Long.MAX_VALUE
+
+    /** Share of the requests that are accepted; 1 unless the instance is overloaded. */
+    @Volatile
+    public var acceptedShare: Double = 1.0
+        private set
+
+    /** Records that the process now gets its turns on the processor [lagMillis] late. */
+    @Synchronized
+    public fun recordLag(lagMillis: Long, nowMillis: Long) {
+        smallestLagMillis = minOf(smallestLagMillis, lagMillis)
+        if (nowMillis - intervalStartMillis < INTERVAL_MILLIS) return
+        acceptedShare = when {
+            smallestLagMillis > MAX_LAG_MILLIS -> (acceptedShare * DECREASE_FACTOR).coerceAtLeast(MIN_SHARE)
+            else -> (acceptedShare * INCREASE_FACTOR).coerceAtMost(1.0)
+        }
+        intervalStartMillis = nowMillis
+        smallestLagMillis = Long.MAX_VALUE
+    }
+
+    /** Whether the next request is to be accepted. */
+    public fun accepts(): Boolean = acceptedShare >= 1.0 || random.nextDouble() < acceptedShare
+
+    public companion object {
+        /** Lag that may last; beyond it, a request that needs several turns misses its target. */
+        public const val MAX_LAG_MILLIS: Long = 100
+
+        /** Time within which one reading of the lag has to be small. */
+        private const val INTERVAL_MILLIS = 250L
+        private const val DECREASE_FACTOR = 0.7
+        private const val INCREASE_FACTOR = 1.25
+
+        /** Some requests are always accepted, as a probe. */
+        private const val MIN_SHARE = 0.02
+    }
+}
