--- a/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
@@ -5,11 +5,12 @@
 /**
  * Refuses a share of the requests while an instance has less processor time than they need.
  *
- * Without it, an overloaded instance accepts everything and serves nothing in time, since each request waits for all the
- * others; what the instance has to learn from its peers and from the store waits with them.
+ * Without it, an overloaded instance accepts everything and serves nothing in time, since each request waits for all
+ * the others; what the instance has to learn from its peers and from the store waits with them.
  *
  * The pattern is controlled delay (CoDel): the smallest lag within an interval tells a standing queue from a burst or a
- * short stall. The share of requests that are accepted falls while there is one, and grows again by a factor in each interval.
+ * short stall. The share of requests that are accepted falls while there is a queue, and else grows by a factor in each
+ * interval.
  */
 public class LoadShedder(private val random: Random) {
     private var intervalStartMillis = 0L
