Look at the server again before the first byte on the own interface too

With a new connection and a thread of the HTTP client in between, a server that the platform was about to take could still get a request. Found by reading; not seen in a run.

Change: a check by the HTTP client with the connection open, right before the first byte. A call that fails there counts as not sent, so another server gets it.

Measured: HttpBackendClientTest, with and without a key, passes; it needs the new field, so it was not run on the code before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/backend/BackendClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/backend/BackendClient.kt
@@ -36,6 +36,8 @@
     val idempotencyKey: String?,
     val stream: Boolean,
     val remaining: Duration,
+    /** Whether the server still takes the request, asked right before its first byte, on any thread. */
+    val isStillAccepted: () -> Boolean = { true },
 )
 
 /** One part of the response of a backend server. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/http/HttpBackendClient.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/http/HttpBackendClient.kt
@@ -19,6 +19,7 @@
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.EventListener
+import okhttp3.Interceptor
 import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -66,6 +67,7 @@
                 maxRequestsPerHost = maxCalls
             },
         )
+        .addNetworkInterceptor(LastCheck)
         .eventListenerFactory { call -> SendTrackingListener(call.request().tag(SendTracker::class.java)) }
         .build()
 
@@ -74,7 +76,7 @@
     private val unpooled = pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
 
     override fun send(server: BackendServer, call: BackendCall): Flow<BackendEvent> = callbackFlow {
-        val tracker = SendTracker()
+        val tracker = SendTracker(call.isStillAccepted)
         val client = if (call.idempotencyKey != null) unpooled else pooled
         val httpCall = client.newCall(requestFor(server, call, tracker))
         httpCall.enqueue(ResponseReader(this, tracker, call.stream))
@@ -157,11 +159,20 @@
 private const val MAX_LINE_BYTES = 1_048_576L
 
 /** Records whether any byte of a request may have been sent to the server. */
-private class SendTracker {
+private class SendTracker(val isStillAccepted: () -> Boolean) {
     @Volatile
     var sent: Boolean = false
 }
 
+/** Fails a call right before its first byte, with its connection open, if the server began to leave in the meantime. */
+private object LastCheck : Interceptor {
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val tracker = chain.request().tag(SendTracker::class.java)
+        if (tracker?.isStillAccepted() == false) throw IOException("the server takes no requests any more")
+        return chain.proceed(chain.request())
+    }
+}
+
 private class SendTrackingListener(private val tracker: SendTracker?) : EventListener() {
     override fun requestHeadersStart(call: Call) {
         tracker?.sent = true
--- a/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Dispatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/pipeline/Dispatcher.kt
@@ -30,7 +30,8 @@
     /** Sends one attempt and returns its events. Updates the run state of [exchange] as events arrive. */
     fun send(exchange: Exchange, placement: Placement, call: BackendCall): Flow<BackendEvent> {
         exchange.markAttemptStarted()
-        return client.send(placement.server, call).onEach {
+        val guarded = call.copy(isStillAccepted = { isInService(placement) })
+        return client.send(placement.server, guarded).onEach {
             when (it) {
                 is BackendEvent.Broken -> if (!it.sent) exchange.markAttemptNotSent()
                 is BackendEvent.Head, is BackendEvent.Data -> exchange.markRan()
@@ -105,6 +106,9 @@
         }
     }
 
+    private fun isInService(placement: Placement) =
+        directory.find(placement.server.id)?.state is ListedServer.State.InService
+
     private fun isLeaving(placement: Placement) =
         directory.find(placement.server.id)?.state is ListedServer.State.Leaving
 
--- a/entry/src/test/kotlin/org/berylpoint/entry/http/HttpBackendClientTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/http/HttpBackendClientTest.kt
@@ -54,6 +54,18 @@
                 events.single().shouldBeInstanceOf<BackendEvent.Broken>().sent shouldBe false
             }
 
+            // Guards against requests to a server that began to leave while they waited for a connection.
+            test("`send` with key $key sends nothing to a server that takes no requests any more") {
+                withEngine { address ->
+                    var isAccepted = true
+                    val call = call("/echo", key = key).copy(isStillAccepted = { isAccepted })
+                    client.send(serverAt(address), call).toList().last() shouldBe BackendEvent.End
+                    isAccepted = false
+                    val events = client.send(serverAt(address), call).toList()
+                    events.single().shouldBeInstanceOf<BackendEvent.Broken>().sent shouldBe false
+                }
+            }
+
             test("`send` with key $key reports a disconnect after sending as sent; guards against a false not-run") {
                 withDisconnectingServer { address ->
                     val events = client.send(serverAt(address), call("/x", key = key)).toList()
