Count the attempts of a request in a class of their own

Change: AttemptCounter, registerGauges, instancesThatFollow. No change of behaviour.

Measured: RequestFlowTest, StreamFlowTest, DepartureFlowTest, ServerNoticesFlowTest, StoreWatcherTest and GatewayProcessStopTest pass as before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -133,6 +133,19 @@
             "instance" to settings.instance,
             "domain" to settings.failureDomain.name,
         )
+        registerGauges()
+        watcher.start(scope)
+        // Callers wait for the addresses to open, so everything that can start later does.
+        front.start()
+        scope.launch { reportExchange.start(this) }
+        scope.launch { restarting(log, "processor lag") { lag.measure() } }
+        scope.launch { restarting(log, "duty lease") { leaseManager.run { isStopping } } }
+        scope.launch { restarting(log, "duties") { runDuties() } }
+        scope.launch { restarting(log, "idle timeout") { applyIdleTimeout() } }
+        log.event("process", "listening for requests", "caller" to settings.callerAddress)
+    }
+
+    private fun registerGauges() {
         metrics.gauge("berylpoint_requests_in_flight", "Requests in progress.") { flow.inFlight.toDouble() }
         metrics.gauge("berylpoint_config_version", "Version of the configuration in force; -1 for none.") {
             (site.view.config?.version ?: -1).toDouble()
@@ -154,15 +167,6 @@
             shedder.acceptedShare
         }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
-        watcher.start(scope)
-        // Callers wait for the addresses to open, so everything that can start later does.
-        front.start()
-        scope.launch { reportExchange.start(this) }
-        scope.launch { restarting(log, "processor lag") { lag.measure() } }
-        scope.launch { restarting(log, "duty lease") { leaseManager.run { isStopping } } }
-        scope.launch { restarting(log, "duties") { runDuties() } }
-        scope.launch { restarting(log, "idle timeout") { applyIdleTimeout() } }
-        log.event("process", "listening for requests", "caller" to settings.callerAddress)
     }
 
     /**
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AttemptEnd.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AttemptEnd.kt
@@ -10,6 +10,9 @@
     /** Whether the server got nothing of the request. */
     val isUnsent: Boolean get() = false
 
+    /** Whether the server ran the request or may have run it. */
+    val mayHaveRun: Boolean get() = true
+
     /** The response is complete; the events of a stream have been sent to the caller already. */
     class Complete(val status: Int, val headers: List<Pair<String, String>>, val body: ByteArray) : AttemptEnd {
         override val metricLabel get() = "Complete"
@@ -26,6 +29,7 @@
     class NotRun(val reachedServer: Boolean, val cause: String) : AttemptEnd {
         override val metricLabel get() = "NotRun"
         override val isUnsent get() = !reachedServer
+        override val mayHaveRun get() = false
 
         override fun toString() = "not run: $cause"
     }
@@ -34,6 +38,7 @@
     class Withheld(val obstacle: SendObstacle) : AttemptEnd {
         override val metricLabel get() = "Withheld"
         override val isUnsent get() = true
+        override val mayHaveRun get() = false
 
         override fun toString() = "not sent: ${obstacle.description}"
     }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -21,14 +21,7 @@
     private val placement = AttemptPlacement(exchange, request, flow)
     private val progress = ResponseProgress()
 
-    /** Attempts in which a server ran the request or may have run it. */
-    private var runs = 0
-
-    /** Attempts in which the request may have reached a server. */
-    private var sends = 0
-
-    /** Attempts in which nothing of the request was sent, for instance because the connection was refused. */
-    private var unsent = 0
+    private val attempts = AttemptCounter(request.route)
     private var isCharged = false
     private var lastFailure = "no attempt was made"
 
@@ -60,7 +53,7 @@
     private fun refuseIfQuarantined(): Boolean {
         val part = flow.quarantine.partOf(request) ?: return false
         lastFailure = "part $part of the prompt crashes servers"
-        if (runs > 0) failRequest(ErrorKind.BackendFailed) else refuseQuarantined(lastFailure)
+        if (attempts.runs > 0) failRequest(ErrorKind.BackendFailed) else refuseQuarantined(lastFailure)
         return true
     }
 
@@ -74,7 +67,7 @@
             is Placement.Unavailable -> return endWithoutServer(placed.waitMillis)
         }
         countSharedPrefill(reservation)
-        if (runs > 0) request.workspace?.let { counts.chargeRerun(it, request.capCost) }
+        if (attempts.runs > 0) request.workspace?.let { counts.chargeRerun(it, request.capCost) }
         val serverExchange = flow.client.send(
             reservation.server.entry.id,
             reservation.server.entry.address,
@@ -167,10 +160,8 @@
     }
 
     private fun count(reservation: ServerReservation, end: AttemptEnd) {
-        if (end.isUnsent) unsent++ else sends++
-        if (end is AttemptEnd.NotRun || end is AttemptEnd.Withheld) return
-        runs++
-        if (end is AttemptEnd.CallerDisconnected) return
+        attempts.count(end)
+        if (!end.mayHaveRun || end is AttemptEnd.CallerDisconnected) return
         if (!request.isStream) countUsage()
         flow.versions.countOutcome(
             request.service.name,
@@ -185,7 +176,7 @@
         flow.log.request(
             "flow", request.id, "attempt-failed", "server" to reservation.server.entry.id.value,
             "revision" to reservation.server.revision, "cause" to lastFailure, "age" to ageMillis(),
-            "sends" to sends,
+            "sends" to attempts.sends,
             "lastEvent" to progress.lastEventId, "expected" to reservation.expectedMillis.toLong(),
             "sentAfter" to reservation.reservedAtMillis - request.arrivedAtMillis,
             "parts" to request.sharedParts.joinToString(",") { it.id },
@@ -200,24 +191,22 @@
     }
 
     /** Takes one attempt out of the retry budget if the request may run again. */
-    private fun mayRetryRun(): Boolean = isRepeatableAfter(runs) && counts.tryRetry(request.service.name)
+    private fun mayRetryRun(): Boolean = isRepeatable() && counts.tryRetry(request.service.name)
 
     /** Like [mayRetryRun], while an attempt is in progress that is only given up for a server which has room. */
     private fun tryMove(): Boolean =
-        isRepeatableAfter(runs + 1) && placement.tryMove { counts.tryRetry(request.service.name) }
+        isRepeatable(inProgress = 1) && placement.tryMove { counts.tryRetry(request.service.name) }
 
-    /** Whether the request may run again after [runs] runs. */
-    private fun isRepeatableAfter(runs: Int): Boolean = request.route.isIdempotent &&
-        runs < request.route.maxAttempts &&
+    /** Whether the request may run again, with [inProgress] runs that have not ended yet. */
+    private fun isRepeatable(inProgress: Int = 0): Boolean = attempts.allowsRun(inProgress) &&
         !progress.lastEventHasNoId &&
         remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
 
     private fun resendOrRefuse(end: AttemptEnd): Boolean {
-        val isWithinLimit = sends < request.route.maxAttempts + EXTRA_SENDS && unsent < MAX_UNSENT
-        val mayResend = isWithinLimit && remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
+        val mayResend = attempts.allowsSend && remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
         if (mayResend && (end.isUnsent || counts.tryRetry(request.service.name))) return true
         when {
-            runs > 0 -> failRequest(ErrorKind.BackendFailed)
+            attempts.runs > 0 -> failRequest(ErrorKind.BackendFailed)
             else -> refuseForCapacity(end.toString(), NOT_RUN_RETRY_AFTER_MILLIS)
         }
         return false
@@ -258,7 +247,7 @@
 
     /** Ends a request for which no server has room for [waitMillis]; no attempt follows. */
     private fun endWithoutServer(waitMillis: Long): Boolean {
-        if (runs > 0 || progress.isResponseStarted) {
+        if (attempts.runs > 0 || progress.isResponseStarted) {
             failRequest(ErrorKind.BackendFailed)
         } else {
             val target = request.route.targetLatencyMillis
@@ -284,7 +273,7 @@
             "age" to ageMillis(),
             "first" to progress.firstEventMillis,
             "expected" to reservation.expectedMillis.toLong(),
-            "sends" to sends,
+            "sends" to attempts.sends,
             "wait" to reservation.reservedAtMillis - request.arrivedAtMillis,
             "tokens" to request.tokens?.promptTokens,
         )
@@ -311,12 +300,6 @@
         const val MAX_CRASHES = 3
         const val QUARANTINE_RETRY_AFTER_MILLIS = 30_000L
 
-        /** Sends that a request may make beyond the route's attempts when servers refuse it without running it. */
-        const val EXTRA_SENDS = 1
-
-        /** Attempts that one request may make in which nothing of it is sent. */
-        const val MAX_UNSENT = 4
-
         const val NOT_RUN_RETRY_AFTER_MILLIS = 200L
 
         /** Statuses that tell a caller that the request did not run. */
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -38,9 +38,7 @@
         test("instances that the store turns away learn of departures from their peers") {
             runTest {
                 val tables = FakeTables(this)
-                repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
-                val instances = FollowingInstances(this, tables, perDomain = 2)
-                delay(3.seconds)
+                val instances = instancesThatFollow(tables, perDomain = 2)
                 tables.rejected += instances.all.filter { it.domain == "a" }.map { it.name }
                 delay(1.seconds)
                 tables.put("servers", "s1", FollowingInstances.server(state = "draining"))
@@ -80,9 +78,7 @@
         test("an instance whose own calls take long learns from its peers what it has missed") {
             runTest {
                 val tables = FakeTables(this)
-                repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
-                val instances = FollowingInstances(this, tables, perDomain = 3)
-                delay(3.seconds)
+                val instances = instancesThatFollow(tables, perDomain = 3)
                 val starved = instances.all.first { !it.isReader }
                 tables.starved += starved.name
                 starved.losesForwardedRows = true
@@ -98,9 +94,7 @@
         test("instances that the store turns away learn of the first change of a quiet table") {
             runTest {
                 val tables = FakeTables(this)
-                repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
-                val instances = FollowingInstances(this, tables, perDomain = 2)
-                delay(3.seconds)
+                val instances = instancesThatFollow(tables, perDomain = 2)
                 tables.rejected += instances.all.filter { it.domain == "a" }.map { it.name }
                 delay(1.seconds)
                 tables.put("op", "evacuate/z", "{}".encodeToByteArray())
@@ -145,6 +139,12 @@
         }
     })
 
+/** Instances of two failure domains that know four servers. */
+private suspend fun TestScope.instancesThatFollow(tables: FakeTables, perDomain: Int): FollowingInstances {
+    repeat(4) { tables.put("servers", "s$it", FollowingInstances.server()) }
+    return FollowingInstances(this, tables, perDomain).also { delay(3.seconds) }
+}
+
 /** Six instances that use `s1`, which leaves now; the feeds are silent until the store drops its history 1 s later. */
 @OptIn(ExperimentalCoroutinesApi::class)
 private suspend fun TestScope.instancesBeforeLostDeparture(): FollowingInstances {
