Shed load by the lag that lasts, in proportion to it

Cause: the first law of the load shedder cut the share of accepted requests by a fixed factor at a lag of 100 ms and grew it in fixed steps.

Change: the share falls the more, the longer the lag is, stays while the lag shrinks by itself, and grows by a factor. Only a lag of over 150 ms counts; below it a late answer is better than none.

Measured: LoadShedderTest at 1.5, 2.5 and 4 times the capacity.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/ProcessorLag.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/ProcessorLag.kt
@@ -43,7 +43,7 @@
     }
 
     private companion object {
-        val INTERVAL = 100.milliseconds
+        val INTERVAL = 50.milliseconds
 
         /** Lag at which requests with the shortest targets come late. */
         const val LOGGED_MILLIS = 100L
--- a/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
@@ -15,6 +15,7 @@
 public class LoadShedder(private val random: Random) {
     private var intervalStartMillis = 0L
     private var smallestLagMillis = Long.MAX_VALUE
+    private var previousLagMillis = 0L
 
     /** Share of the requests that are accepted; 1 unless the instance is overloaded. */
     @Volatile
@@ -26,24 +27,33 @@
     public fun recordLag(lagMillis: Long, nowMillis: Long) {
         smallestLagMillis = minOf(smallestLagMillis, lagMillis)
         if (nowMillis - intervalStartMillis < INTERVAL_MILLIS) return
-        acceptedShare = when {
-            smallestLagMillis > MAX_LAG_MILLIS -> (acceptedShare * DECREASE_FACTOR).coerceAtLeast(MIN_SHARE)
-            else -> (acceptedShare * INCREASE_FACTOR).coerceAtMost(1.0)
-        }
+        acceptedShare = (acceptedShare * changeFactor(smallestLagMillis)).coerceIn(MIN_SHARE, 1.0)
         intervalStartMillis = nowMillis
+        previousLagMillis = smallestLagMillis
         smallestLagMillis = Long.MAX_VALUE
     }
 
+    /** The share falls the more, the longer the queue is; it stays while the queue shrinks by itself. */
+    private fun changeFactor(lagMillis: Long): Double = when {
+        lagMillis <= MAX_LAG_MILLIS -> INCREASE_FACTOR
+        lagMillis < previousLagMillis * MAX_SHRINKING_RATIO -> 1.0
+        else -> (MAX_LAG_MILLIS.toDouble() / lagMillis).coerceIn(MIN_DECREASE_FACTOR, MAX_DECREASE_FACTOR)
+    }
+
     /** Whether the next request is to be accepted. */
     public fun accepts(): Boolean = acceptedShare >= 1.0 || random.nextDouble() < acceptedShare
 
     public companion object {
         /** Lag that may last; beyond it, a request that needs several turns misses its target. */
-        public const val MAX_LAG_MILLIS: Long = 100
+        public const val MAX_LAG_MILLIS: Long = 150
 
         /** Time within which one reading of the lag has to be small. */
         private const val INTERVAL_MILLIS = 250L
-        private const val DECREASE_FACTOR = 0.7
+
+        /** A queue shrinks by itself if its lag is below this part of that an interval before. */
+        private const val MAX_SHRINKING_RATIO = 0.8
+        private const val MIN_DECREASE_FACTOR = 0.25
+        private const val MAX_DECREASE_FACTOR = 0.7
         private const val INCREASE_FACTOR = 1.25
 
         /** Some requests are always accepted, as a probe. */
--- a/policy/src/test/kotlin/org/berylpoint/policy/overload/LoadShedderTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/overload/LoadShedderTest.kt
@@ -72,7 +72,8 @@
         val isStalled = nowMillis % 100 < stallMillis
         if (!isStalled) backlogMillis = (backlogMillis - 1).coerceAtLeast(0.0)
         ranMillis++
-        if (nowMillis % LAG_READING_MILLIS == 0L) shedder.recordLag(backlogMillis.toLong(), nowMillis)
+        val stallLeftMillis = (stallMillis - nowMillis % 100).coerceAtLeast(0)
+        if (nowMillis % LAG_READING_MILLIS == 0L) shedder.recordLag(backlogMillis.toLong() + stallLeftMillis, nowMillis)
     }
 
     private fun arrive() {
@@ -89,6 +90,6 @@
         const val COST_MILLIS = 10.0
         const val REFUSAL_COST_MILLIS = 1.5
         const val TARGET_MILLIS = 400
-        const val LAG_READING_MILLIS = 100L
+        const val LAG_READING_MILLIS = 50L
     }
 }
