Pass the conditions of acceptance to the request flow as one value

Change: AcceptanceConditions; the settings of a tested process moved into Ports. No change of behaviour.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -19,6 +19,7 @@
 import org.berylpoint.entry.gateway.duty.DutyLeaseManager
 import org.berylpoint.entry.gateway.duty.RolloutDuty
 import org.berylpoint.entry.gateway.duty.UsageDuty
+import org.berylpoint.entry.gateway.flow.AcceptanceConditions
 import org.berylpoint.entry.gateway.flow.PromptQuarantine
 import org.berylpoint.entry.gateway.flow.RequestFlow
 import org.berylpoint.entry.gateway.flow.SharedCounts
@@ -91,9 +92,11 @@
     private val flow =
         RequestFlow(
             clocks, site, pool, client, notices, counts, versions, quarantine, log, metrics, random,
-            isLeaving = { refusesRequests },
-            acceptsLoad = shedder::accepts,
-            remainingMillis = { stopsAtMillis?.let { it - clocks.steadyMillis } },
+            AcceptanceConditions(
+                isLeaving = { refusesRequests },
+                hasProcessorTime = shedder::accepts,
+                remainingMillis = { stopsAtMillis?.let { it - clocks.steadyMillis } },
+            ),
         )
     private val leaseManager = DutyLeaseManager(
         settings.instance,
--- /dev/null
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AcceptanceConditions.kt
@@ -0,0 +1,11 @@
+package org.berylpoint.entry.gateway.flow
+
+/** What the process around a [RequestFlow] says of whether it can serve one more request. */
+public class AcceptanceConditions(
+    /** Whether the instance is about to stop, so that a new request might be cut off. */
+    public val isLeaving: () -> Boolean = { false },
+    /** Whether the instance has the processor time for one more request. */
+    public val hasProcessorTime: () -> Boolean = { true },
+    /** Milliseconds until the process ends; null unless it is stopping. */
+    public val remainingMillis: () -> Long? = { null },
+)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -29,12 +29,7 @@
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     random: Random,
-    /** Whether the instance is about to stop, so that a new request might be cut off. */
-    private val isLeaving: () -> Boolean = { false },
-    /** Whether the instance has the processor time for one more request. */
-    private val acceptsLoad: () -> Boolean = { true },
-    /** Milliseconds until the process ends; null unless it is stopping. */
-    private val remainingMillis: () -> Long? = { null },
+    private val conditions: AcceptanceConditions = AcceptanceConditions(),
 ) {
     private val context = FlowContext(
         clocks,
@@ -58,8 +53,8 @@
         val arrivedAtMillis = clocks.steadyMillis
         inFlightCount.incrementAndGet()
         try {
-            if (isLeaving()) return refuse(exchange, stopping("the instance is stopping"), arrivedAtMillis)
-            if (!acceptsLoad()) return refuse(exchange, overloaded(), arrivedAtMillis)
+            if (conditions.isLeaving()) return refuse(exchange, stopping("the instance is stopping"), arrivedAtMillis)
+            if (!conditions.hasProcessorTime()) return refuse(exchange, overloaded(), arrivedAtMillis)
             awaitConfiguration()
             context.admission.admit(exchange.request, arrivedAtMillis).fold(
                 ifLeft = { refuse(exchange, it, arrivedAtMillis) },
@@ -76,7 +71,7 @@
 
     private suspend fun serveAdmitted(exchange: CallerExchange, request: AdmittedRequest) {
         val expected = context.durations.expectedMillis(request.route.name)
-        val remaining = remainingMillis()
+        val remaining = conditions.remainingMillis()
         if (expected != null && remaining != null && expected > remaining) {
             val cause = "the request may take $expected ms, and the instance stops in $remaining ms"
             return refuse(exchange, stopping(cause), request.arrivedAtMillis)
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/GatewayProcessSiteTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/GatewayProcessSiteTest.kt
@@ -19,7 +19,7 @@
         test("an instance learns of its site while all shared workers are busy") {
             SampleSite().use { site ->
                 val ports = Ports.free()
-                val process = GatewayProcess(gatewaySettings(site, ports), System::currentTimeMillis)
+                val process = GatewayProcess(ports.settings(site), System::currentTimeMillis)
                 val isReleased = CountDownLatch(1)
                 try {
                     repeat(SHARED_WORKERS) { CoroutineScope(Dispatchers.Default).launch { isReleased.await() } }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/GatewayProcessStopTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/GatewayProcessStopTest.kt
@@ -18,7 +18,7 @@
         test("a stop under load ends after the answer to the last request that was accepted") {
             SampleSite().use { site ->
                 val ports = Ports.free()
-                val process = GatewayProcess(gatewaySettings(site, ports), System::currentTimeMillis)
+                val process = GatewayProcess(ports.settings(site), System::currentTimeMillis)
                 process.start()
                 val load = CallerLoad(ports.callers, site)
                 load.awaitAnswers()
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -55,7 +55,7 @@
     val cancelled = mutableListOf<String>()
 
     var isLeaving = false
-    var acceptsLoad = true
+    var hasProcessorTime = true
 
     /** Time until the instance ends; null unless it is stopping. */
     var remainingMillis: Long? = null
@@ -84,9 +84,7 @@
         log,
         GatewayMetrics(PrometheusRegistry()),
         random,
-        isLeaving = { isLeaving },
-        acceptsLoad = { acceptsLoad },
-        remainingMillis = { remainingMillis },
+        AcceptanceConditions({ isLeaving }, { hasProcessorTime }, { remainingMillis }),
     )
 
     init {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -172,13 +172,13 @@
             runTest {
                 val fixture = RequestFlowFixture(this)
                 fixture.scripts += okResponse()
-                fixture.acceptsLoad = false
+                fixture.hasProcessorTime = false
                 val refused = RecordingCaller("/book/1").also { fixture.flow.serve(it) }
                 refused.status shouldBe 503
                 refused.header("Retry-After") shouldBe "0.10"
                 currentTime shouldBe 0
                 fixture.sent.size shouldBe 0
-                fixture.acceptsLoad = true
+                fixture.hasProcessorTime = true
                 RecordingCaller("/book/1").also { fixture.flow.serve(it) }.status shouldBe 200
             }
         }
