Let one long stall refuse nothing

Cause: an interval of the load shedder ended with the first reading after a stall of any length, which was then its smallest one. A collection of the heap, or a machine that was suspended, made the instance refuse requests for a second. Found by reading.

Change: an interval has two readings or more.

Measured: LoadShedderTest, 'one stall of seconds refuses nothing', passes; it was not run on the code before.

--- a/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/overload/LoadShedder.kt
@@ -14,6 +14,7 @@
  */
 public class LoadShedder(private val random: Random) {
     private var intervalStartMillis = 0L
+    private var readings = 0
     private var smallestLagMillis = Long.MAX_VALUE
     private var previousLagMillis = 0L
 
@@ -26,9 +27,11 @@
     @Synchronized
     public fun recordLag(lagMillis: Long, nowMillis: Long) {
         smallestLagMillis = minOf(smallestLagMillis, lagMillis)
-        if (nowMillis - intervalStartMillis < INTERVAL_MILLIS) return
+        readings++
+        if (nowMillis - intervalStartMillis < INTERVAL_MILLIS || readings < MIN_READINGS) return
         acceptedShare = (acceptedShare * changeFactor(smallestLagMillis)).coerceIn(MIN_SHARE, 1.0)
         intervalStartMillis = nowMillis
+        readings = 0
         previousLagMillis = smallestLagMillis
         smallestLagMillis = Long.MAX_VALUE
     }
@@ -50,6 +53,9 @@
         /** Time within which one reading of the lag has to be small. */
         private const val INTERVAL_MILLIS = 250L
 
+        /** More than one, since one stall of any length gives one large reading. */
+        private const val MIN_READINGS = 2
+
         /** A queue shrinks by itself if its lag is below this part of that an interval before. */
         private const val MAX_SHRINKING_RATIO = 0.8
         private const val MIN_DECREASE_FACTOR = 0.25
--- a/policy/src/test/kotlin/org/berylpoint/policy/overload/LoadShedderTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/overload/LoadShedderTest.kt
@@ -33,6 +33,17 @@
             processor.refused shouldBe 0
         }
 
+        // Guards against refusals after a collection of the heap, or after a machine was suspended.
+        test("one stall of seconds refuses nothing") {
+            val shedder = LoadShedder(Random(1))
+            for (now in 50L..1_000L step 50) shedder.recordLag(lagMillis = 1, now)
+            shedder.recordLag(lagMillis = 4_000, nowMillis = 5_050)
+            for (now in 5_100L..6_000L step 50) {
+                shedder.recordLag(lagMillis = 1, now)
+                shedder.acceptedShare shouldBe 1.0
+            }
+        }
+
         // Guards against an instance that goes on refusing after the load has gone back.
         test("all requests are accepted again a few seconds after the load went back") {
             val processor = Processor()
