Don't bring servers back by rows from before an instance's own read

Cause: since receivers decide by the store's revision whether forwarded rows follow, they also took rows of the time before their own read. Such a row alone could bring a departed server back, whose deletion the read had shown only by its absence, when the rest did not fit the datagram. Found by reading the diff.

Change: only rows after the revision of the store that is applied are used; the others only raise the compared revision.

Measured: StoreWatcherTest, 'does not bring a server back', passes; it was not run on the code before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -65,10 +65,11 @@
         // Writes to other tables count here: there was no change of this table between its last row and that revision.
         if (!isLoaded || storeRevision < part.after) return
         val rows = part.rows.map { StoreRow(table, it.key, it.value, it.revision, it.isDeleted) }
-            .filter { it.revision > rowRevision }
-        logChanges(rows, Source.FORWARDED)
-        update(rows)
-        recentRows.add(rows)
+        // A read at that revision has shown what became of the earlier rows; alone, one could undo a later deletion.
+        val newRows = rows.filter { it.revision > storeRevision }
+        logChanges(newRows, Source.FORWARDED)
+        update(newRows)
+        recentRows.add(newRows)
         advanceRowRevision(rows)
         storeRevision = maxOf(storeRevision, rowRevision)
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -7,6 +7,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.berylpoint.peer.RowPart
+import org.berylpoint.peer.RowsPart
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -103,6 +105,22 @@
             }
         }
 
+        // Guards against a departed server that is used again, since a peer sent an older change of its entry.
+        test("a row from before an instance's own read does not bring a server back") {
+            runTest {
+                val tables = FakeTables(this)
+                tables.put("servers", "s9", FollowingInstances.server())
+                tables.delete("servers", "s9")
+                tables.put("other", "x", ByteArray(0))
+                val instance = FollowingInstances(this, tables, perDomain = 1).all.first()
+                delay(1.seconds)
+                val row = RowPart("s9", FollowingInstances.server(), revision = 1, isDeleted = false)
+                instance.watcher.applyForwardedRows(RowsPart("servers", after = 0, listOf(row)))
+                instance.uses("s9") shouldBe false
+                instance.watcher.revisions["servers"] shouldBe 1
+            }
+        }
+
         // Guards against instances that stop following the servers because another writer left one odd entry there.
         test("instances go on following the servers after an entry that can't be read") {
             runTest {
