Count what reports take of a link, and split the discovery of peers off

The discovery of peers has a file of its own, and the socket an interface, so that tests can play the network; no logic is changed.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -24,6 +24,7 @@
 import org.berylpoint.entry.gateway.flow.RequestFlow
 import org.berylpoint.entry.gateway.flow.SharedCounts
 import org.berylpoint.entry.gateway.flow.VersionOutcomes
+import org.berylpoint.entry.gateway.peers.PeerDiscovery
 import org.berylpoint.entry.gateway.peers.PeerReportExchange
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.gateway.server.HttpServerClient
@@ -34,6 +35,7 @@
 import org.berylpoint.entry.gateway.site.StoreWatcher
 import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.peer.NodeReport
+import org.berylpoint.peer.ReportSocket
 import org.berylpoint.platform.cloud.CloudClient
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
@@ -110,10 +112,10 @@
         reportExchange.forwardRows(settings.failureDomain.name, rows)
     }
     private val watcher = StoreWatcher(store, site, log, feedReaders)
+    private val discovery =
+        PeerDiscovery(settings.instance, settings.reportAddress.toString(), store, peers, log)
     private val reportExchange: PeerReportExchange = PeerReportExchange(
-        settings.instance,
-        settings.reportAddress.toString(),
-        store,
+        { ReportSocket.open(settings.reportAddress.toString()) },
         peers,
         log,
         ::buildReport,
@@ -154,7 +156,10 @@
         watcher.start(siteScope)
         // Callers wait for the addresses to open, so everything that can start later does.
         front.start()
-        scope.launch { reportExchange.start(this) }
+        scope.launch {
+            reportExchange.start(this)
+            restarting(log, "peer discovery") { discovery.registerAndDiscover() }
+        }
         siteScope.launch { restarting(log, "processor lag") { lag.measure() } }
         scope.launch { restarting(log, "duty lease") { leaseManager.run { isStopping } } }
         scope.launch { restarting(log, "duties") { runDuties() } }
@@ -183,6 +188,12 @@
         metrics.gauge("berylpoint_accepted_share", "Share of requests that is accepted; below 1 under overload.") {
             shedder.acceptedShare
         }
+        metrics.gauge("berylpoint_report_bytes", "Bytes of reports sent to other instances since the start.") {
+            (reportExchange.traffic?.bytes ?: 0).toDouble()
+        }
+        metrics.gauge("berylpoint_peers_known", "Other instances known, silent ones included.") {
+            peers.peerCount.toDouble()
+        }
         metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -4,33 +4,19 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.json.Json
 import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.entry.gateway.restarting
 import org.berylpoint.peer.NodeReport
-import org.berylpoint.peer.ReportSocket
+import org.berylpoint.peer.ReportChannel
+import org.berylpoint.peer.ReportTraffic
 import org.berylpoint.peer.RowsPart
-import org.berylpoint.platform.store.RowWrite
-import org.berylpoint.platform.store.StoreClient
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** An entry instance's row in the store: the IP number and port on which it receives reports. */
-@Serializable
-internal data class PeerRow(val address: String)
-
-/**
- * Sends this instance's report to all other instances several times a second and receives theirs.
- *
- * An instance writes its own row before it reads the rows of all instances. Of two that start at the same time at least
- * one therefore finds the other, which discovers the first by the report that it receives.
- */
+/** Sends this instance's report to all other instances several times a second and receives theirs. */
 internal class PeerReportExchange(
-    private val self: String,
-    private val address: String,
-    private val store: StoreClient,
+    private val openChannel: () -> ReportChannel,
     private val view: PeerView,
     private val log: DecisionLog,
     private val buildReport: (sequence: Long) -> NodeReport,
@@ -41,80 +27,66 @@
     private val sequence = AtomicLong()
 
     @Volatile
-    private var socket: ReportSocket? = null
+    private var channel: ReportChannel? = null
+
+    /** What this process has sent to other instances; null before [start]. */
+    val traffic: ReportTraffic? get() = channel?.traffic
 
     /** Sends changed rows to the live instances of [domain], or nothing where a datagram can't hold them. */
     fun forwardRows(domain: String, rows: RowsPart) {
         if (rows.rows.sumOf { it.value.size } > MAX_FORWARDED_BYTES) return
-        socket?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), view.liveAddressesIn(domain))
+        channel?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), view.liveAddressesIn(domain))
     }
 
     /** Sends changed rows to the instance that receives reports at [peerAddress]. */
     fun sendRows(rows: RowsPart, peerAddress: String) {
-        socket?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), listOf(peerAddress))
+        channel?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), listOf(peerAddress))
     }
 
-    /** Opens the socket, then registers, sends and receives in [scope] until it ends. */
+    /** Opens the channel, then sends and receives in [scope] until it ends. */
     fun start(scope: CoroutineScope) {
-        val socket = ReportSocket.open(address)
-        this.socket = socket
-        scope.coroutineContext.job.invokeOnCompletion { socket.close() }
-        socket.receive { received ->
+        val channel = openChannel()
+        this.channel = channel
+        scope.coroutineContext.job.invokeOnCompletion { channel.close() }
+        channel.receive { received ->
             received.rows?.let(onRows)
             view.accept(received)?.let(onReport)
         }
-        scope.launch { restarting(log, "peer discovery") { registerAndDiscover() } }
-        scope.launch { restarting(log, "peer reports") { sendReports(socket) } }
+        scope.launch { restarting(log, "peer reports") { sendReports(channel) } }
+        scope.launch { restarting(log, "peer traffic") { logTraffic(channel.traffic) } }
     }
 
-    private suspend fun sendReports(socket: ReportSocket) {
+    private suspend fun sendReports(channel: ReportChannel) {
         while (true) {
             view.removeExpiredPeers()
             val addresses = view.addresses()
-            socket.send(buildReport(sequence.incrementAndGet()), addresses)
+            channel.send(buildReport(sequence.incrementAndGet()), addresses)
             delay(PeerView.reportIntervalMillis(addresses.size).milliseconds)
         }
     }
 
-    private suspend fun registerAndDiscover() {
-        var isRegistered = false
-        var retryDelay = FIRST_RETRY_DELAY
+    /** Logs what was sent lately: a link that is full of reports delays everything else on it. */
+    private suspend fun logTraffic(traffic: ReportTraffic) {
+        var bytes = 0L
+        var datagrams = 0L
         while (true) {
-            if (!isRegistered) {
-                val value = Json.encodeToString(PeerRow.serializer(), PeerRow(address)).encodeToByteArray()
-                store.commit(emptyList(), listOf(RowWrite(TABLE, self, value))).fold(
-                    ifLeft = { log.event("peer", "writing this instance's row failed", "cause" to it) },
-                    ifRight = { isRegistered = true },
-                )
-            }
-            if (isRegistered && discoverPeers()) return
-            delay(retryDelay)
-            retryDelay = minOf(retryDelay * 2, MAX_RETRY_DELAY)
+            delay(TRAFFIC_LOG_INTERVAL)
+            log.event(
+                "peer",
+                "reports were sent",
+                "datagrams" to traffic.datagrams - datagrams,
+                "bytes" to traffic.bytes - bytes,
+                "peers" to view.peerCount,
+                "live" to view.liveReports.size,
+            )
+            bytes = traffic.bytes
+            datagrams = traffic.datagrams
         }
     }
 
-    private suspend fun discoverPeers(): Boolean = store.read(TABLE).fold(
-        ifLeft = {
-            log.event("peer", "reading the rows of instances failed", "cause" to it)
-            false
-        },
-        ifRight = { rows ->
-            for (row in rows.rows) {
-                runCatching { Json.decodeFromString(PeerRow.serializer(), row.value.decodeToString()) }
-                    .onSuccess { view.add(row.key, it.address) }
-                    .onFailure { log.event("peer", "an instance's row is malformed", "key" to row.key) }
-            }
-            view.isPeerListLoaded = true
-            true
-        },
-    )
-
     private companion object {
-        const val TABLE = "instances"
-
         /** Limit on the values of all forwarded rows; each instance reads larger changes from the store. */
         const val MAX_FORWARDED_BYTES = 4_096
-        val FIRST_RETRY_DELAY = 300.milliseconds
-        val MAX_RETRY_DELAY = 3.seconds
+        val TRAFFIC_LOG_INTERVAL = 10.seconds
     }
 }
--- a/peer/src/main/kotlin/org/berylpoint/peer/ReportSocket.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/ReportSocket.kt
@@ -12,16 +12,18 @@
 private val log = KotlinLogging.logger {}
 
 /**
- * Sends and receives [NodeReport]s as UDP datagrams. Datagrams may be lost; nothing is sent again.
+ * A [ReportChannel] over UDP, with one datagram a report and receiver.
  *
  * One thread handles the datagrams that have arrived every [RECEIVE_INTERVAL_MILLIS]. At hundreds of instances, waking
  * up for each of them, or passing each on to another thread, would cost more than reading it.
  */
-public class ReportSocket private constructor(private val channel: DatagramChannel) : AutoCloseable {
+public class ReportSocket private constructor(private val channel: DatagramChannel) : ReportChannel {
     private val targets = ConcurrentHashMap<String, InetSocketAddress>()
 
+    override val traffic: ReportTraffic = ReportTraffic()
+
     /** Calls [handle], on the socket's own thread, for each report that arrives; malformed ones are dropped. */
-    public fun receive(handle: (NodeReport) -> Unit) {
+    override fun receive(handle: (NodeReport) -> Unit) {
         thread(name = "peer-reports", isDaemon = true) {
             val buffer = ByteBuffer.allocate(MAX_DATAGRAM_BYTES)
             while (channel.isOpen) {
@@ -31,9 +33,9 @@
         }
     }
 
-    /** Sends [report] to each of [addresses], given as IP number and port. */
-    public fun send(report: NodeReport, addresses: Collection<String>) {
+    override fun send(report: NodeReport, addresses: Collection<String>) {
         val bytes = ByteBuffer.wrap(NodeReportCodec.encode(report))
+        traffic.count(addresses.size, bytes.limit())
         for (address in addresses) {
             try {
                 channel.send(bytes.rewind(), targets.getOrPut(address) { socketAddress(address) })
