Let instances that were cut from each other for long find each other again

Cause: after 20 s of silence an instance forgets a peer and sends it nothing any more; the peer does the same, and discovery ends with its first success. Change: a forgotten instance still gets a report every 1.5 s, at most 16 of them with each round of reports; it does not count until it is heard. PeerMeshTest failed before: after a cut of 30 s both ways a pair, and a site of 40 instances, heard nothing again; both hear all within 3 s now. PeerViewTest green.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -59,9 +59,9 @@
     private suspend fun sendReports(channel: ReportChannel) {
         while (true) {
             view.removeExpiredPeers()
-            val addresses = view.addresses()
+            val addresses = view.takeAddresses()
             channel.send(buildReport(sequence.incrementAndGet()), addresses)
-            delay(PeerView.reportIntervalMillis(addresses.size).milliseconds)
+            delay(PeerView.reportIntervalMillis(view.peerCount).milliseconds)
         }
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -25,6 +25,8 @@
 
     private val peers = HashMap<String, Peer>()
 
+    private val forgotten = ForgottenPeers()
+
     private val ended = EndedProcesses()
 
     /** Whether the list of instances was read from the store, so that no instance registered before is missing. */
@@ -41,6 +43,7 @@
         if (name == self) return
         val peer = peers[name]
         if (peer == null) peers[name] = Peer(name, address, null, clocks.steadyMillis, 0) else peer.address = address
+        forgotten.remove(name)
     }
 
     /**
@@ -59,6 +62,7 @@
         if (last == null || now - peer.lastReportAtMillis > silenceTimeoutMillis()) {
             log.event("peer", "an instance is heard", "peer" to report.name, "address" to report.address)
         }
+        forgotten.remove(report.name)
         val previous = last?.takeIf { it.startedAtMillis == report.startedAtMillis }
         peer.report = report
         peer.address = report.address
@@ -99,6 +103,7 @@
             if (silence > PEER_EXPIRY_MILLIS) {
                 peer.report?.let(ended::record)
                 peers.remove(peer.name)
+                forgotten.add(peer.name, peer.address, now)
                 log.event("peer", "an instance is forgotten", "peer" to peer.name, "silence" to silence)
             }
         }
@@ -118,9 +123,10 @@
         return peers.values.filter { it.lastReportAtMillis >= earliest }.mapNotNull { it.report }
     }
 
-    /** Addresses to which reports are sent, those of silent instances included. */
+    /** Takes the addresses to which the next report is sent, those of silent and of some forgotten ones included. */
     @Synchronized
-    public fun addresses(): List<String> = peers.values.map { it.address }
+    public fun takeAddresses(): List<String> =
+        peers.values.map { it.address } + forgotten.takeDueAddresses(clocks.steadyMillis)
 
     /** Addresses of the live instances of [domain]. */
     @Synchronized
