Keep the reports between instances small, and send them a few at a time

Callers saw old configurations and departed servers used on the grown sites. Cause (hypothesis 1): each instance sent its whole report to all others at once; while any process was young it carried the usage of 16 ended ones, and each forwarded row a whole report as well. The links filled up, and with them waited calls to the store, new connections and the reports themselves. Change: usage and crash totals go with each fourth report, a receiver keeps them in between; usage of ended processes goes to new processes only, from two peers, four at a time; rows travel alone; eight receivers at a time within the interval.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -10,11 +10,16 @@
 import org.berylpoint.peer.ReportChannel
 import org.berylpoint.peer.ReportTraffic
 import org.berylpoint.peer.RowsPart
+import org.berylpoint.peer.withOnly
+import org.berylpoint.peer.withSomeSilentProcesses
+import org.berylpoint.peer.withoutPartsForNewProcesses
+import org.berylpoint.peer.withoutSilentProcesses
+import org.berylpoint.peer.withoutSlowParts
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Sends this instance's report to all other instances several times a second and receives theirs. */
+/** Sends this instance's report to all other instances at an interval and receives theirs. */
 internal class PeerReportExchange(
     private val openChannel: () -> ReportChannel,
     private val view: PeerView,
@@ -35,12 +40,12 @@
     /** Sends changed rows to the live instances of [domain], or nothing where a datagram can't hold them. */
     fun forwardRows(domain: String, rows: RowsPart) {
         if (rows.rows.sumOf { it.value.size } > MAX_FORWARDED_BYTES) return
-        channel?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), view.liveAddressesIn(domain))
+        channel?.send(buildReport(sequence.get()).withOnly(rows), view.liveAddressesIn(domain))
     }
 
     /** Sends changed rows to the instance that receives reports at [peerAddress]. */
     fun sendRows(rows: RowsPart, peerAddress: String) {
-        channel?.send(buildReport(sequence.incrementAndGet()).copy(rows = rows), listOf(peerAddress))
+        channel?.send(buildReport(sequence.get()).withOnly(rows), listOf(peerAddress))
     }
 
     /** Opens the channel, then sends and receives in [scope] until it ends. */
@@ -49,19 +54,45 @@
         this.channel = channel
         scope.coroutineContext.job.invokeOnCompletion { channel.close() }
         channel.receive { received ->
-            received.rows?.let(onRows)
-            view.accept(received)?.let(onReport)
+            val rows = received.rows
+            if (rows != null) onRows(rows) else view.accept(received)?.let(onReport)
         }
         scope.launch { restarting(log, "peer reports") { sendReports(channel) } }
         scope.launch { restarting(log, "peer traffic") { logTraffic(channel.traffic) } }
     }
 
     private suspend fun sendReports(channel: ReportChannel) {
+        var round = 0
         while (true) {
             view.removeExpiredPeers()
-            val addresses = view.takeAddresses()
-            channel.send(buildReport(sequence.incrementAndGet()), addresses)
-            delay(PeerView.reportIntervalMillis(view.peerCount).milliseconds)
+            sendRound(channel, round++)
+        }
+    }
+
+    /**
+     * Sends one report to each instance within the time between two reports. It goes out to a few instances at a time,
+     * so that nothing else waits long behind it on the link; each of them gets what is known at its turn.
+     */
+    private suspend fun sendRound(channel: ReportChannel, round: Int) {
+        val number = sequence.incrementAndGet()
+        val slices = view.takeTargets().chunked(TARGETS_AT_ONCE)
+        val interval = PeerView.reportIntervalMillis(view.peerCount).milliseconds
+        for (slice in slices) {
+            sendTo(slice, channel, buildReport(number), round)
+            delay(interval / slices.size)
+        }
+        if (slices.isEmpty()) delay(interval)
+    }
+
+    private fun sendTo(targets: List<ReportTarget>, channel: ReportChannel, report: NodeReport, round: Int) {
+        val isWhole = round % WHOLE_REPORT_ROUNDS == 0
+        for ((needs, group) in targets.groupBy { it.needs }) {
+            val part = when (needs) {
+                ReportNeeds.NOTHING -> if (isWhole) report.withoutPartsForNewProcesses() else report.withoutSlowParts()
+                ReportNeeds.WINDOW_TOTALS -> report.withoutSilentProcesses()
+                ReportNeeds.SILENT_PROCESSES -> report.withSomeSilentProcesses(SILENT_PROCESSES_AT_ONCE, round)
+            }
+            channel.send(part, group.map { it.address })
         }
     }
 
@@ -85,6 +116,15 @@
     }
 
     private companion object {
+        /** Parts of a report that may come late are sent with each report of this number. */
+        const val WHOLE_REPORT_ROUNDS = 4
+
+        /** Instances to which a report goes at once. */
+        const val TARGETS_AT_ONCE = 8
+
+        /** Ended processes whose usage one report carries. */
+        const val SILENT_PROCESSES_AT_ONCE = 4
+
         /** Limit on the values of all forwarded rows; each instance reads larger changes from the store. */
         const val MAX_FORWARDED_BYTES = 4_096
         val TRAFFIC_LOG_INTERVAL = 10.seconds
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -5,6 +5,8 @@
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.ProcessPart
 import org.berylpoint.peer.ReportSocket
+import org.berylpoint.peer.completedBy
+import org.berylpoint.policy.Rendezvous
 import org.berylpoint.policy.duty.medianClockOffset
 
 /**
@@ -47,8 +49,8 @@
     }
 
     /**
-     * Records [report] and returns it with [NodeReport.admitted] reduced to what the sender admitted since its previous
-     * report; null if [report] is not newer than that one.
+     * Records [report], completed with parts of the one before it, and returns it with [NodeReport.admitted] reduced to
+     * what the sender admitted since then; null if [report] is not newer.
      */
     @Synchronized
     public fun accept(report: NodeReport): NodeReport? {
@@ -64,12 +66,13 @@
         }
         forgotten.remove(report.name)
         val previous = last?.takeIf { it.startedAtMillis == report.startedAtMillis }
-        peer.report = report
+        val complete = report.completedBy(previous)
+        peer.report = complete
         peer.address = report.address
         peer.lastReportAtMillis = now
         peer.wallOffsetMillis = report.wallMillis - now
         refreshLiveReports(now)
-        return report.copy(
+        return complete.copy(
             admitted = if (previous == null) recentlyAdmitted(report) else admittedSince(previous, report),
         )
     }
@@ -123,10 +126,25 @@
         return peers.values.filter { it.lastReportAtMillis >= earliest }.mapNotNull { it.report }
     }
 
-    /** Takes the addresses to which the next report is sent, those of silent and of some forgotten ones included. */
+    /** Takes the instances to which the next report is sent, silent ones and some of the forgotten ones included. */
     @Synchronized
-    public fun takeAddresses(): List<String> =
-        peers.values.map { it.address } + forgotten.takeDueAddresses(clocks.steadyMillis)
+    internal fun takeTargets(): List<ReportTarget> {
+        val settled = live.filterNot(::isNewProcess).map { it.name } + self
+        val known = peers.values.map { ReportTarget(it.address, needsOf(it, settled)) }
+        return known + forgotten.takeDueAddresses(clocks.steadyMillis).map { ReportTarget(it, ReportNeeds.NOTHING) }
+    }
+
+    private fun needsOf(peer: Peer, settled: List<String>): ReportNeeds {
+        val report = peer.report
+        return when {
+            report == null || !isNewProcess(report) -> ReportNeeds.NOTHING
+            self in Rendezvous.ranked(peer.name, settled) { it }.take(HELPERS) -> ReportNeeds.SILENT_PROCESSES
+            else -> ReportNeeds.WINDOW_TOTALS
+        }
+    }
+
+    /** Whether the process that sent [report] is too young to know what happened in a window of the caps. */
+    private fun isNewProcess(report: NodeReport) = processAgeMillis(report) < RECENT_ADMISSION_MILLIS
 
     /** Addresses of the live instances of [domain]. */
     @Synchronized
@@ -235,6 +253,9 @@
         /** Age at which a process has received several reports of each instance. */
         private const val FULLY_INFORMED_AGE_MILLIS = 5_000L
 
+        /** Instances that send a new process the usage of ended ones; more than one, since a report may be lost. */
+        private const val HELPERS = 2
+
         /** Keeps a report within one datagram. */
         private const val MAX_SILENT_PROCESSES = 16
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -61,7 +61,7 @@
         }
 
         fun receive(report: NodeReport) {
-            report.rows?.let(watcher::applyForwardedRows)
+            report.rows?.let { return watcher.applyForwardedRows(it) }
             if (peers.accept(report) == null) return
             watcher.notePeerRevisions(report.revisions)
             watcher.changesFor(report).forEach { rows ->
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -38,7 +38,7 @@
     @CborLabel(15) val address: String = "",
     /** Newest store revisions that the sender has applied, by table. */
     @CborLabel(16) val revisions: Map<String, Long> = emptyMap(),
-    /** Rows that the sender has just read for the instances of its failure domain. */
+    /** Changed rows, for an instance that lacks them; such a report carries nothing else. */
     @CborLabel(17) val rows: RowsPart? = null,
     /** What all instances admitted in the last cap window as the sender knows it, by workspace; for new processes. */
     @CborLabel(18) val windowTotals: Map<String, Double> = emptyMap(),
@@ -52,6 +52,8 @@
     @CborLabel(22) val crashTotals: List<CrashTotalPart> = emptyList(),
     /** Outcomes by route, of services with servers of several versions. */
     @CborLabel(23) val routeOutcomes: List<RoutePart> = emptyList(),
+    /** Whether the parts are left out that are not needed with each report; see [withoutSlowParts]. */
+    @CborLabel(24) val isPartial: Boolean = false,
 )
 
 /** What one process counted for [NodeReport.usage] in its last report. */
