Let peers send what they found by reading a table anew

Two tests of StoreWatcherTest failed before: both instances of a domain that the store turned away still used two departed servers after 2 s, and stayed behind where nothing had changed. Change: a reload is compared with the rows known before; what is new, changed or gone joins the changes that peers can be sent, and a part of rows says up to which revision nothing is missing. Where a row may have come and gone unseen nothing is claimed. Forwarded rows also apply while a reload is due.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/RecentRows.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/RecentRows.kt
@@ -2,11 +2,20 @@
 
 import org.berylpoint.platform.store.StoreRow
 
+/** Changes of a table after some revision: all of them up to [upTo]. */
+internal class RowChanges(val rows: List<StoreRow>, val upTo: Long)
+
 /** The newest changes of one table, in the order of their revisions, for peers that can't read them from the store. */
 internal class RecentRows {
     private val rows = ArrayDeque<StoreRow>()
 
-    /** All changes after this revision are in [rows]. */
+    /**
+     * Spans of revisions that a read of the whole table has skipped. A row that came and went within one is not among
+     * [rows], so what a peer lacks that has applied a part of the span can't be told.
+     */
+    private var skipped = emptyList<LongRange>()
+
+    /** All changes after this revision are in [rows], but for those in [skipped]. */
     var completeAfter = 0L
         private set
 
@@ -16,28 +25,44 @@
         while (rows.size > MAX_ROWS) completeAfter = rows.removeFirst().revision
     }
 
-    /** Forgets all changes: the table was read whole as of [revision], so that changes before it are not known. */
+    /** Adds what a read of the whole table at [revision] has changed here, where all up to [before] was known. */
+    fun addReload(changes: List<StoreRow>, before: Long, revision: Long) {
+        add(changes)
+        skipped = skipped.filter { it.last > completeAfter }
+            .plusElement(before + 1 until revision)
+            .takeLast(MAX_SKIPPED)
+        if (skipped.size == MAX_SKIPPED) completeAfter = maxOf(completeAfter, skipped.first().first - 1)
+    }
+
+    /** Forgets all changes: the table was read for the first time, as of [revision]. */
     fun restart(revision: Long) {
         rows.clear()
+        skipped = emptyList()
         completeAfter = revision
     }
 
     /**
-     * The known changes after [revision], as many of the oldest as [MAX_BYTES] hold; null if there are none. Changes up
-     * to [completeAfter] are not among them.
+     * The changes after [revision] as of [newest], as many of the oldest as [MAX_BYTES] hold; null if they are not
+     * known. Changes up to [completeAfter] are not among them.
      */
-    fun after(revision: Long): List<StoreRow>? {
+    fun after(revision: Long, newest: Long): RowChanges? {
+        if (skipped.any { revision in it }) return null
         var bytes = 0
-        return rows.filter { it.revision > revision }
-            .takeWhile {
-                bytes += it.value.size
-                bytes <= MAX_BYTES
-            }
-            .ifEmpty { null }
+        val later = rows.filter { it.revision > revision }
+        val sent = later.takeWhile {
+            bytes += it.value.size
+            bytes <= MAX_BYTES
+        }
+        return when {
+            sent.size == later.size -> RowChanges(sent, newest)
+            sent.isEmpty() -> null
+            else -> RowChanges(sent, sent.last().revision)
+        }
     }
 
     private companion object {
         const val MAX_ROWS = 200
+        const val MAX_SKIPPED = 16
 
         /** Keeps a report with these rows well below the size of a datagram. */
         const val MAX_BYTES = 16_384
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -55,6 +55,9 @@
     @Volatile
     private var failures = 0
     private val recentRows = RecentRows()
+
+    /** Revision of each row that exists, by key. */
+    private val rowRevisions = HashMap<String, Long>()
     private val peerAheadSignal = Channel<Unit>(Channel.CONFLATED)
     private val applyLock = Any()
 
@@ -63,17 +66,27 @@
 
     fun applyForwarded(part: RowsPart) = synchronized(applyLock) {
         // Writes to other tables count here: there was no change of this table between its last row and that revision.
-        if (!isLoaded || storeRevision < part.after) return
+        if (!wasLoaded || storeRevision < part.after) return
         val rows = part.rows.map { StoreRow(table, it.key, it.value, it.revision, it.isDeleted) }
         // A read at that revision has shown what became of the earlier rows; alone, one could undo a later deletion.
         val newRows = rows.filter { it.revision > storeRevision }
         logChanges(newRows, Source.FORWARDED)
         update(newRows)
-        recentRows.add(newRows)
+        record(newRows)
         advanceRowRevision(rows)
+        rowRevision = maxOf(rowRevision, part.upTo)
         storeRevision = maxOf(storeRevision, rowRevision)
     }
 
+    private fun record(changes: List<StoreRow>) {
+        recentRows.add(changes)
+        changes.forEach(::recordRevision)
+    }
+
+    private fun recordRevision(row: StoreRow) {
+        if (row.isDeleted) rowRevisions.remove(row.key) else rowRevisions[row.key] = row.revision
+    }
+
     private fun logChanges(rows: List<StoreRow>, source: Source) {
         if (rows.isEmpty()) return
         val revision = rows.maxOf { it.revision }
@@ -94,11 +107,12 @@
     /** The changes that a peer lacks which has applied all up to [revision], as far as known; null for none. */
     fun changesAfter(revision: Long): RowsPart? = synchronized(applyLock) {
         if (revision >= rowRevision) return null
-        val rows = recentRows.after(revision) ?: return null
-        val parts = rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }
-        RowsPart(table, maxOf(revision, recentRows.completeAfter), parts)
+        val changes = recentRows.after(revision, newest = rowRevision) ?: return null
+        RowsPart(table, maxOf(revision, recentRows.completeAfter), partsOf(changes.rows), changes.upTo)
     }
 
+    private fun partsOf(rows: List<StoreRow>) = rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }
+
     /** Records that a peer has applied all changes up to [revision]. */
     fun notePeerRevision(revision: Long) {
         if (revision <= rowRevision) return
@@ -132,11 +146,11 @@
             synchronized(applyLock) {
                 logChanges(it.rows, Source.RELOAD)
                 replace(it.rows)
+                recordReload(it)
                 advanceRowRevision(it.rows)
-                // A row that was deleted meanwhile shows only by its absence. Peers have to read the table again too.
+                // A row that was deleted meanwhile shows only by its absence, and peers have to learn of that too.
                 if (wasLoaded) rowRevision = it.revision
                 storeRevision = it.revision
-                recentRows.restart(it.revision)
                 isLoaded = true
                 wasLoaded = true
             }
@@ -144,6 +158,19 @@
         },
     )
 
+    /** Keeps what [read] has changed here, for peers that can't read it themselves. */
+    private fun recordReload(read: StoreRows) {
+        val changed = read.rows.filter { it.revision > (rowRevisions[it.key] ?: 0) }.sortedBy { it.revision }
+        val deleted = (rowRevisions.keys - read.rows.map { it.key }.toSet())
+            .map { StoreRow(table, it, ByteArray(0), read.revision, isDeleted = true) }
+        if (wasLoaded) {
+            recentRows.addReload(changed + deleted, storeRevision, read.revision)
+        } else {
+            recentRows.restart(read.revision)
+        }
+        (changed + deleted).forEach(::recordRevision)
+    }
+
     private fun advanceRowRevision(rows: List<StoreRow>) {
         rowRevision = maxOf(rowRevision, rows.maxOfOrNull { it.revision } ?: 0)
     }
@@ -241,15 +268,14 @@
         synchronized(applyLock) {
             logChanges(rows.rows, source)
             update(rows.rows)
-            recentRows.add(rows.rows.filter { it.revision > rowRevision })
+            record(rows.rows.filter { it.revision > rowRevision })
             advanceRowRevision(rows.rows)
             // The peer is ahead by a reload, not by a row.
             if (peerRevision in rowRevision..rows.revision) rowRevision = peerRevision
             storeRevision = maxOf(storeRevision, rows.revision)
         }
         if (rows.rows.isNotEmpty() && feedReaders.longPollWait() != null) {
-            val parts = rows.rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }
-            feedReaders.forwardRows(RowsPart(table, previousRowRevision, parts))
+            feedReaders.forwardRows(RowsPart(table, previousRowRevision, partsOf(rows.rows)))
         }
         return null
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -91,6 +91,39 @@
             }
         }
 
+        // Guards against departures that an instance learns of only from the store (DRAIN): peers that had read a table
+        // anew knew no changes from before that, and sent nothing to those that the store turned away.
+        test("instances that the store turns away learn of what their peers have found by reading a table anew") {
+            runTest {
+                val tables = FakeTables(this)
+                val instances = instancesThatFollow(tables, perDomain = 2)
+                tables.rejected += instances.all.filter { it.domain == "a" }.map { it.name }
+                delay(1.seconds)
+                tables.isSilent = true
+                tables.delete("servers", "s1")
+                tables.put("servers", "s2", FollowingInstances.server(state = "draining"))
+                tables.dropHistory()
+                tables.isSilent = false
+                delay(DRAIN_TIME)
+                instances.all.filter { it.uses("s1") || it.uses("s2") }.map { it.name } shouldBe emptyList()
+            }
+        }
+
+        // Guards against an instance that stays behind its peers for good, since nothing has changed that they could
+        // send it (CONFIG, DRAIN): it could not tell that from a change which it had missed.
+        test("an instance that the store turns away keeps up with peers that read a table anew without a change") {
+            runTest {
+                val tables = FakeTables(this)
+                val instances = instancesThatFollow(tables, perDomain = 2)
+                tables.rejected += instances.all.filter { it.domain == "a" }.map { it.name }
+                delay(1.seconds)
+                tables.put("other", "x", ByteArray(0))
+                tables.dropHistory()
+                delay(DRAIN_TIME)
+                instances.all.map { it.watcher.revisions["servers"] }.distinct().size shouldBe 1
+            }
+        }
+
         // Guards against domains out of service, withdrawn keys and departures that an instance never learns of (EVAC,
         // CONFIG, DRAIN): peers sent it only changes of tables that had changed shortly before they were read.
         test("instances that the store turns away learn of the first change of a quiet table") {
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -64,12 +64,14 @@
     @CborLabel(3) val usage: List<WindowPart>,
 )
 
-/** Changes of one table of the store, complete since the row with revision [after]. */
+/** Changes of one table of the store, complete since the row with revision [after] and, if it is known, to [upTo]. */
 @Serializable
 public data class RowsPart(
     @CborLabel(1) val table: String,
     @CborLabel(2) val after: Long,
     @CborLabel(3) val rows: List<RowPart>,
+    /** No change is missing up to this revision, which need not be that of a row; 0 if only [rows] are known. */
+    @CborLabel(4) val upTo: Long = 0,
 )
 
 /** One changed or deleted row. */
