Don't send requests by a view of the site that is known to be out of date

Change: each instance knows, on the store's clock, up to when its tables are complete; that time travels with the reports, so that a few calls a second keep it fresh on all. Past the time in which a change must be in force, less 0.3 s, a view is old. Where peers have newer rows, or the process gets no turns, requests are then refused as not run, also right before their first byte; where nobody knows better, as in an outage of the store, they are served on. An unknown route or key gets 503 instead of 404 or 401 while the view is old. New keys of the settings: drain-millis and config-millis; a gauge for the age.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -32,7 +32,9 @@
 import org.berylpoint.entry.gateway.server.ServerPool
 import org.berylpoint.entry.gateway.site.FeedReaderSelection
 import org.berylpoint.entry.gateway.site.SiteState
+import org.berylpoint.entry.gateway.site.StoreClock
 import org.berylpoint.entry.gateway.site.StoreWatcher
+import org.berylpoint.entry.gateway.site.ViewFreshness
 import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.ReportSocket
@@ -98,6 +100,8 @@
                 isLeaving = { refusesRequests },
                 hasProcessorTime = shedder::accepts,
                 remainingMillis = { stopsAtMillis?.let { it - clocks.steadyMillis } },
+                isViewOld = { freshness.isOld },
+                isViewOutOfDate = { freshness.isOutOfDate },
             ),
         )
     private val leaseManager = DutyLeaseManager(
@@ -111,7 +115,8 @@
     private val feedReaders = FeedReaderSelection(settings.instance, settings.failureDomain.name, peers) { rows ->
         reportExchange.forwardRows(settings.failureDomain.name, rows)
     }
-    private val watcher = StoreWatcher(store, site, log, feedReaders)
+    private val watcher = StoreWatcher(store, StoreClock(clocks), site, log, feedReaders)
+    private val freshness = ViewFreshness(watcher, { lag.millis }, settings.bounds.changeMillis)
     private val discovery =
         PeerDiscovery(settings.instance, settings.reportAddress.toString(), store, peers, log)
     private val reportExchange: PeerReportExchange = PeerReportExchange(
@@ -185,6 +190,9 @@
         metrics.gauge("berylpoint_processor_lag_seconds", "How late the process gets its turns on the processor.") {
             lag.millis / MILLIS_PER_SECOND.toDouble()
         }
+        metrics.gauge("berylpoint_view_age_seconds", "Time since the view of the site was known to be complete.") {
+            (watcher.viewAgeMillis ?: 0) / MILLIS_PER_SECOND.toDouble()
+        }
         metrics.gauge("berylpoint_accepted_share", "Share of requests that is accepted; below 1 under overload.") {
             shedder.acceptedShare
         }
@@ -281,7 +289,7 @@
     private fun onReport(report: NodeReport) {
         counts.mergeReport(report)
         quarantine.mergeReport(report)
-        watcher.notePeerRevisions(report.revisions)
+        watcher.notePeer(report)
         watcher.changesFor(report).forEach { reportExchange.sendRows(it, report.address) }
     }
 
@@ -300,6 +308,8 @@
             dutyToken = leaseManager.holder?.fencingToken ?: 0,
             isLeaving = isStopping,
             address = settings.reportAddress.toString(),
+            // Read before the revisions: no change that these lack is older.
+            completeAsOf = watcher.completeAsOfMillis,
             revisions = watcher.revisions,
             silentProcesses = peers.usageOfSilentProcesses(),
             isCutOffFromStore = watcher.isCutOff,
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/Admission.kt
@@ -19,22 +19,36 @@
  * An error response of the gateway in place of a server's response. [cause] is only logged; [retryAfterMillis] goes to
  * the caller.
  */
-internal class Refusal(val kind: ErrorKind, val cause: String, val retryAfterMillis: Long? = null)
+internal class Refusal(val kind: ErrorKind, val cause: String, val retryAfterMillis: Long? = null) {
+    companion object {
+        /** Refuses a request that another instance may serve by a newer view of the site. */
+        fun viewOutOfDate(): Refusal =
+            Refusal(ErrorKind.NotReady, "the view of the site is out of date", OLD_VIEW_RETRY_AFTER_MILLIS)
+
+        private const val OLD_VIEW_RETRY_AFTER_MILLIS = 200L
+    }
+}
 
 /**
  * Checks a request before it is sent to a server: it needs a route, an API key, an id, a form that can be forwarded
  * unchanged, and room in its workspace's cap.
  */
-internal class Admission(private val site: SiteState, private val counts: SharedCounts, private val random: Random) {
+internal class Admission(
+    private val site: SiteState,
+    private val counts: SharedCounts,
+    private val random: Random,
+    /** Whether the view of the site may lack a change that has to be in force. */
+    private val isViewOld: () -> Boolean,
+) {
     /** Checks everything but the cap, which [charge] does. [arrivedAtMillis] is on the steady clock. */
     fun admit(caller: CallerRequest, arrivedAtMillis: Long): Either<Refusal, AdmittedRequest> = either {
         val config = requireConfig()
         val route = ensureNotNull(config.findRoute(caller.host, caller.path)) {
-            Refusal(ErrorKind.UnknownClass, "no route matches in configuration version ${config.version}")
+            unlessOld(ErrorKind.UnknownClass, "no route matches in configuration version ${config.version}")
         }
         val workspace = workspaceOf(caller, config)
         ensure(workspace != null || route.isPublic || !config.requiresApiKeys) {
-            Refusal(ErrorKind.Unauthenticated, "no valid API key for configuration version ${config.version}")
+            unlessOld(ErrorKind.Unauthenticated, "no valid API key for configuration version ${config.version}")
         }
         val service = ensureNotNull(config.services[route.selectService(random)]) {
             Refusal(ErrorKind.NoBackend, "the route's service is not configured", NOT_READY_RETRY_AFTER_MILLIS)
@@ -59,6 +73,10 @@
         )
     }
 
+    /** A final refusal; one that asks the caller to come back if a newer configuration may allow the request. */
+    private fun unlessOld(kind: ErrorKind, cause: String): Refusal =
+        if (isViewOld()) Refusal.viewOutOfDate() else Refusal(kind, cause)
+
     private fun Raise<Refusal>.requireConfig(): ServingConfig {
         val view = site.view
         return ensureNotNull(view.config?.takeIf { view.hasLoadedServers }) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
@@ -21,6 +21,7 @@
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val admission: Admission,
+    val conditions: AcceptanceConditions,
 ) {
     val durations = RouteDurations()
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -91,6 +91,7 @@
     private fun findObstacle(reservation: ServerReservation): SendObstacle? = when {
         remainingMillis() <= 0 || exchange.isDisconnected() -> SendObstacle.RESPONSE_NOT_WANTED
         !pool.isUsable(reservation) -> SendObstacle.SERVER_NOT_USABLE
+        flow.conditions.isViewOutOfDate() -> SendObstacle.VIEW_OUT_OF_DATE
         else -> null
     }
 
@@ -203,10 +204,13 @@
         remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
 
     private fun resendOrRefuse(end: AttemptEnd): Boolean {
-        val mayResend = attempts.allowsSend && remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
+        val isViewOutOfDate = (end as? AttemptEnd.Withheld)?.obstacle == SendObstacle.VIEW_OUT_OF_DATE
+        val mayResend = attempts.allowsSend && !isViewOutOfDate &&
+            remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
         if (mayResend && (end.isUnsent || counts.tryRetry(request.service.name))) return true
         when {
             attempts.runs > 0 -> failRequest(ErrorKind.BackendFailed)
+            isViewOutOfDate -> refuseUnrun(Refusal.viewOutOfDate())
             else -> refuseForCapacity(end.toString(), NOT_RUN_RETRY_AFTER_MILLIS)
         }
         return false
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -41,7 +41,8 @@
         quarantine,
         log,
         metrics,
-        Admission(site, counts, random),
+        Admission(site, counts, random, conditions.isViewOld),
+        conditions,
     )
     private val inFlightCount = AtomicInteger()
 
@@ -55,6 +56,7 @@
         try {
             if (conditions.isLeaving()) return refuse(exchange, stopping("the instance is stopping"), arrivedAtMillis)
             if (!conditions.hasProcessorTime()) return refuse(exchange, overloaded(), arrivedAtMillis)
+            if (conditions.isViewOutOfDate()) return refuse(exchange, Refusal.viewOutOfDate(), arrivedAtMillis)
             awaitConfiguration()
             context.admission.admit(exchange.request, arrivedAtMillis).fold(
                 ifLeft = { refuse(exchange, it, arrivedAtMillis) },
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/SendObstacle.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/SendObstacle.kt
@@ -9,4 +9,7 @@
 
     /** The server leaves, or takes no requests for the time being. */
     SERVER_NOT_USABLE("the server takes no requests any more"),
+
+    /** The server may have left without this instance knowing. */
+    VIEW_OUT_OF_DATE("the view of the site is out of date"),
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -22,6 +22,7 @@
  */
 public class StoreWatcher(
     private val store: TableReader,
+    private val clock: StoreClock,
     private val state: SiteState,
     private val log: DecisionLog,
     private val feedReaders: FeedReaderSelection,
@@ -34,6 +35,20 @@
     public val revisions: Map<String, Long>
         get() = feeds.filter { it.wasLoaded }.associate { it.table to it.rowRevision }
 
+    /** Time on the store's clock up to which all changes are applied, by table; tables not read yet are missing. */
+    public val completeAsOfMillis: Map<String, Long>
+        get() = feeds.filter { it.wasLoaded }.associate { it.table to it.completeAsOfMillis }
+
+    /** How long ago the view was known to be complete, at most; null before all tables were read. */
+    public val viewAgeMillis: Long?
+        get() {
+            val now = clock.nowMillis?.takeIf { feeds.all { feed -> feed.wasLoaded } } ?: return null
+            return now - feeds.minOf { it.completeAsOfMillis }
+        }
+
+    /** Whether a peer has applied a change that is missing here. */
+    public val isBehindPeers: Boolean get() = feeds.any { it.isBehindPeers }
+
     /** Whether the store does not serve this instance, so that it depends on its peers for changes. */
     public val isCutOff: Boolean get() = feeds.any { it.isCutOff }
 
@@ -48,9 +63,10 @@
         }
     }
 
-    /** Records the revisions that a peer has applied, by table; a table that stays behind them is polled. */
-    public fun notePeerRevisions(revisions: Map<String, Long>) {
-        for (feed in feeds) feed.notePeerRevision(revisions[feed.table] ?: 0)
+    /** Records what the sender of [report] has applied; a table that stays behind is polled. */
+    public fun notePeer(report: NodeReport) {
+        report.completeAsOf.values.maxOrNull()?.let(clock::advanceTo)
+        for (feed in feeds) feed.notePeer(report.revisions[feed.table] ?: 0, report.completeAsOf[feed.table] ?: 0)
     }
 
     /** Applies rows that a peer forwarded. */
@@ -74,7 +90,7 @@
         feeds.mapNotNull { feed -> revisions[feed.table]?.let(feed::changesAfter) }
 
     private fun feed(table: String, replace: (List<StoreRow>) -> Unit, update: (List<StoreRow>) -> Unit) =
-        TableFeed(table, store, feedReaders, log, replace, update, state::recordStoreFailure)
+        TableFeed(table, store, clock, feedReaders, log, replace, update, state::recordStoreFailure)
 
     private companion object {
         val MISSING_CHECK_INTERVAL = 500.milliseconds
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -1,5 +1,6 @@
 package org.berylpoint.entry.gateway.site
 
+import arrow.core.Either
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
@@ -24,6 +25,7 @@
 internal class TableFeed(
     val table: String,
     private val store: TableReader,
+    private val clock: StoreClock,
     private val feedReaders: FeedReaderSelection,
     private val log: DecisionLog,
     private val replace: (List<StoreRow>) -> Unit,
@@ -64,6 +66,14 @@
     @Volatile
     private var peerRevision = 0L
 
+    /** Time on the store's clock up to which all changes of the table are applied; 0 while it is not known. */
+    @Volatile
+    var completeAsOfMillis = 0L
+        private set
+
+    /** Whether a peer has applied a change that is missing here. */
+    val isBehindPeers: Boolean get() = peerRevision > rowRevision
+
     fun applyForwarded(part: RowsPart) = synchronized(applyLock) {
         // Writes to other tables count here: there was no change of this table between its last row and that revision.
         if (!wasLoaded || storeRevision < part.after) return
@@ -113,13 +123,20 @@
 
     private fun partsOf(rows: List<StoreRow>) = rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }
 
-    /** Records that a peer has applied all changes up to [revision]. */
-    fun notePeerRevision(revision: Long) {
-        if (revision <= rowRevision) return
+    /** Records that a peer has applied all changes up to [revision], and knows of none after it up to [completeAsOf]. */
+    fun notePeer(revision: Long, completeAsOf: Long) {
+        if (noteComplete(revision, completeAsOf)) return
         peerRevision = maxOf(peerRevision, revision)
         peerAheadSignal.trySend(Unit)
     }
 
+    /** Takes over what a peer knows; false if changes are missing here that it has applied. */
+    private fun noteComplete(revision: Long, completeAsOf: Long): Boolean = synchronized(applyLock) {
+        if (revision > rowRevision) return false
+        if (wasLoaded) completeAsOfMillis = maxOf(completeAsOfMillis, completeAsOf)
+        true
+    }
+
     suspend fun run() {
         while (true) {
             val error = if (isLoaded) readChanges() else readAll()
@@ -136,7 +153,13 @@
         }
     }
 
-    private suspend fun readAll(): StoreError? = store.read(table).fold(
+    /** Makes a call, and takes the store's time from its answer. */
+    private suspend fun timed(call: suspend () -> Either<StoreError, StoreRows>): Either<StoreError, StoreRows> {
+        val sentAtMillis = clock.localMillis
+        return call().onRight { if (it.clockMillis > 0) clock.record(it.clockMillis, sentAtMillis) }
+    }
+
+    private suspend fun readAll(): StoreError? = timed { store.read(table) }.fold(
         ifLeft = { it },
         ifRight = {
             // A read that is older than the applied changes would revert them.
@@ -151,6 +174,7 @@
                 // A row that was deleted meanwhile shows only by its absence, and peers have to learn of that too.
                 if (wasLoaded) rowRevision = it.revision
                 storeRevision = it.revision
+                completeAsOfMillis = maxOf(completeAsOfMillis, it.clockMillis)
                 isLoaded = true
                 wasLoaded = true
             }
@@ -187,7 +211,7 @@
     /** Long-polls the feed, but stops waiting when a peer has a newer row than the feed has delivered. */
     private suspend fun readFeed(wait: Duration): StoreError? {
         val answer = coroutineScope {
-            val call = async { store.changes(table, storeRevision, wait) }
+            val call = async { timed { store.changes(table, storeRevision, wait) } }
             val peerAhead = async { awaitPeerAhead() }
             val result = select {
                 call.onAwait { it }
@@ -246,7 +270,7 @@
         return poll()
     }
 
-    private suspend fun poll(): StoreError? = store.changes(table, storeRevision, Duration.ZERO).fold({
+    private suspend fun poll(): StoreError? = timed { store.changes(table, storeRevision, Duration.ZERO) }.fold({
         errorOrReload(it)
     }, { applyChanges(it, Source.POLL) })
 
@@ -273,6 +297,7 @@
             // The peer is ahead by a reload, not by a row.
             if (peerRevision in rowRevision..rows.revision) rowRevision = peerRevision
             storeRevision = maxOf(storeRevision, rows.revision)
+            if (!rows.hasMore) completeAsOfMillis = maxOf(completeAsOfMillis, rows.clockMillis)
         }
         if (rows.rows.isNotEmpty() && feedReaders.longPollWait() != null) {
             feedReaders.forwardRows(RowsPart(table, previousRowRevision, partsOf(rows.rows)))
--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -56,6 +56,8 @@
     val retrySlack: Double,
     val retryWindowMillis: Long,
     val capTolerance: CapTolerance,
+    /** Time within which a change in the store has to be in force on each instance that is in touch with it. */
+    val changeMillis: Long,
 )
 
 private class GatewaySettingsReader(private val file: String, private val ini: IniFile) {
@@ -111,6 +113,7 @@
             overRatio = bound("cap-over", 0.0),
             slack = bound("cap-slack", 0.0),
         ),
+        changeMillis = minOf(bound("drain-millis", 2_000.0), bound("config-millis", 2_000.0)).toLong(),
     )
 
     /** Reads a key of the section `bounds`, whose value may have a fraction. */
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/DepartureFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/DepartureFlowTest.kt
@@ -128,6 +128,5 @@
         }
     })
 
-private fun okResponse() = listOf(head(200), data("ok"), end())
 
 private fun streamResponse() = listOf(head(200), event(1), end())
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -56,6 +56,8 @@
 
     var isLeaving = false
     var hasProcessorTime = true
+    var isViewOld = false
+    var isViewOutOfDate = false
 
     /** Time until the instance ends; null unless it is stopping. */
     var remainingMillis: Long? = null
@@ -84,7 +86,13 @@
         log,
         GatewayMetrics(PrometheusRegistry()),
         random,
-        AcceptanceConditions({ isLeaving }, { hasProcessorTime }, { remainingMillis }),
+        AcceptanceConditions(
+            { isLeaving },
+            { hasProcessorTime },
+            { remainingMillis },
+            { isViewOld },
+            { isViewOutOfDate },
+        ),
     )
 
     init {
@@ -169,7 +177,7 @@
     }
 
     companion object {
-        val BOUNDS = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0))
+        val BOUNDS = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0), 2_000)
 
         private const val CONFIG = """{"version":5,"routes":[
             {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":120,
@@ -214,7 +222,7 @@
         method,
         path,
         "h",
-        listOf("X-Berylpoint-Request-Id" to "r1", "Authorization" to "Bearer k") + headers,
+        DEFAULT_HEADERS.filter { (name, _) -> headers.none { it.first == name } } + headers,
         ByteArray(0),
     )
     var status = 0
@@ -251,6 +259,10 @@
         isAborted = true
         throw IOException("the response was aborted")
     }
+
+    private companion object {
+        val DEFAULT_HEADERS = listOf("X-Berylpoint-Request-Id" to "r1", "Authorization" to "Bearer k")
+    }
 }
 
 internal fun head(status: Int, vararg headers: Pair<String, String>, isNotRun: Boolean = false, after: Long = 5) =
@@ -265,3 +277,5 @@
 internal fun end(after: Long = 1) = ScriptedEvent(after, ServerEvent.End)
 
 internal fun failed(isSent: Boolean = true, after: Long = 5) = ScriptedEvent(after, ServerEvent.Failed(isSent, "reset"))
+
+internal fun okResponse() = listOf(head(200), data("ok"), end())
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowTest.kt
@@ -328,5 +328,3 @@
 
 /** After this time an instance no longer counts what its earlier process may have admitted in the window. */
 private val LONGER_THAN_WINDOW = 10.seconds
-
-private fun okResponse() = listOf(head(200), data("ok"), end())
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/ServerNoticesFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/ServerNoticesFlowTest.kt
@@ -99,5 +99,3 @@
     })
 
 private val LEAVING = "Server-Leaving" to "1"
-
-private fun okResponse() = listOf(head(200), data("ok"), end())
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FakeTables.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FakeTables.kt
@@ -33,6 +33,9 @@
     /** Instances that get their answers late, as when they are short of processor time. */
     val starved = mutableSetOf<String>()
 
+    /** The store's steady clock, which runs ahead of those of the instances. */
+    private val clockMillis: Long get() = scope.currentTime + CLOCK_OFFSET_MILLIS
+
     fun put(table: String, key: String, value: ByteArray) = apply(StoreRow(table, key, value, ++revision))
 
     fun delete(table: String, key: String) = apply(StoreRow(table, key, ByteArray(0), ++revision, isDeleted = true))
@@ -54,7 +57,7 @@
         override suspend fun read(table: String): Either<StoreError, StoreRows> {
             delay(if (instance in starved) STARVED_CALL_TIME else CALL_TIME)
             if (instance in rejected) return REJECTION.left()
-            return StoreRows(rows.values.filter { it.table == table }, revision, 0).right()
+            return StoreRows(rows.values.filter { it.table == table }, revision, clockMillis).right()
         }
 
         override suspend fun changes(table: String, revision: Long, wait: Duration): Either<StoreError, StoreRows> {
@@ -67,15 +70,16 @@
                 if (!isSilent && revision < historyStart) return StoreError.HistoryGone.left()
                 val changed = history.filter { it.table == table && it.revision > revision }
                 if (!isSilent && (changed.isNotEmpty() || scope.currentTime >= deadline)) {
-                    return StoreRows(changed, this@FakeTables.revision, 0).right()
+                    return StoreRows(changed, this@FakeTables.revision, clockMillis).right()
                 }
-                if (scope.currentTime >= deadline) return StoreRows(emptyList(), revision, 0).right()
+                if (scope.currentTime >= deadline) return StoreRows(emptyList(), revision, clockMillis).right()
                 delay(CALL_TIME)
             }
         }
     }
 
     private companion object {
+        const val CLOCK_OFFSET_MILLIS = 1_000_000L
         val CALL_TIME = 5.milliseconds
         val STARVED_CALL_TIME = 3.seconds
         val REJECTION = StoreError.NotDone("status 503")
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -24,10 +24,16 @@
         val peers = PeerView(name, clocks, log)
         val state = SiteState(clocks, log)
         private val feedReaders = FeedReaderSelection(name, domain, peers, ::forward)
-        val watcher = StoreWatcher(tables.reader(name), state, log, feedReaders)
+        val watcher = StoreWatcher(tables.reader(name), StoreClock(clocks), state, log, feedReaders)
         private var sequence = 0L
         private val jobs = listOf(watcher.start(scope.backgroundScope), scope.backgroundScope.launch { sendReports() })
 
+        /** How late the process gets its turns; nothing that its peers send is read while it is positive. */
+        var lagMillis = 0L
+
+        /** By the shortest time in which operators want a change in force. */
+        val freshness = ViewFreshness(watcher, { lagMillis }, changeMillis = 2_000)
+
         /** Whether the rows that the reader of its failure domain forwards to it are lost. */
         var losesForwardedRows = false
 
@@ -43,6 +49,7 @@
             sequence = ++sequence,
             wallMillis = scope.currentTime,
             address = name,
+            completeAsOf = watcher.completeAsOfMillis,
             revisions = watcher.revisions,
             rows = rows,
             isCutOffFromStore = watcher.isCutOff,
@@ -61,9 +68,10 @@
         }
 
         fun receive(report: NodeReport) {
+            if (lagMillis > 0) return
             report.rows?.let { return watcher.applyForwardedRows(it) }
             if (peers.accept(report) == null) return
-            watcher.notePeerRevisions(report.revisions)
+            watcher.notePeer(report)
             watcher.changesFor(report).forEach { rows ->
                 all.first { it.name == report.name }.receive(report(rows))
             }
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -54,6 +54,8 @@
     @CborLabel(23) val routeOutcomes: List<RoutePart> = emptyList(),
     /** Whether the parts are left out that are not needed with each report; see [withoutSlowParts]. */
     @CborLabel(24) val isPartial: Boolean = false,
+    /** Time on the store's clock, in milliseconds, up to which the sender has applied all changes, by table. */
+    @CborLabel(25) val completeAsOf: Map<String, Long> = emptyMap(),
 )
 
 /** What one process counted for [NodeReport.usage] in its last report. */
