Poll the store oneself when its readers are late

Requests reached departed servers: one instance a failure domain reads the feeds for all, chosen by hash; where it is heard but short of processor time, nobody took its place. Now an instance whose view was last known to be complete 0.7 of the time in which a change has to be in force ago polls the store, one instance after another, since the answer to one spreads with the reports. The two frequent readers ask every 1 s, not 1.5, so that views don't look old.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -112,9 +112,13 @@
         log,
         settings.bounds.leaseMillis + LEASE_MARGIN_MILLIS,
     )
-    private val feedReaders = FeedReaderSelection(settings.instance, settings.failureDomain.name, peers) { rows ->
-        reportExchange.forwardRows(settings.failureDomain.name, rows)
-    }
+    private val feedReaders =
+        FeedReaderSelection(
+            settings.instance,
+            settings.failureDomain.name,
+            peers,
+            settings.bounds.changeMillis,
+        ) { rows -> reportExchange.forwardRows(settings.failureDomain.name, rows) }
     private val watcher = StoreWatcher(store, StoreClock(clocks), site, log, feedReaders)
     private val freshness = ViewFreshness(watcher, { lag.millis }, settings.bounds.changeMillis)
     private val discovery =
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/FeedReaderSelection.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/FeedReaderSelection.kt
@@ -4,7 +4,6 @@
 import org.berylpoint.peer.RowsPart
 import org.berylpoint.policy.Rendezvous
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -15,6 +14,8 @@
     private val self: String,
     private val domain: String,
     private val peers: PeerView,
+    /** Time within which a change has to be in force. */
+    private val changeMillis: Long,
     private val sendRows: (RowsPart) -> Unit,
 ) {
     /** Interval at which an instance that reads no feed polls the store, whether or not peers have newer rows. */
@@ -32,6 +33,16 @@
         return if (rank < FREQUENT_READERS) SHORT_WAIT else LONG_WAIT
     }
 
+    /**
+     * Age of the own view at which this instance polls the store although others read the feeds for it: they may be
+     * heard and yet be late themselves. The instances come one after another, since the answer to one call is known to
+     * all soon after.
+     */
+    public fun maxViewAgeMillis(): Long {
+        val rank = Rendezvous.ranked(POLL_KEY, servedPeers().map { it.name } + self) { it }.indexOf(self)
+        return changeMillis * MAX_AGE_PERCENT / 100 + minOf(rank * MILLIS_PER_RANK, MAX_RANK_MILLIS)
+    }
+
     /** Whether this instance is the one that sends changed rows to [peer] when it lacks some. */
     public fun isHelperOf(peer: String): Boolean =
         Rendezvous.first(peer, servedPeers().map { it.name }.filter { it != peer } + self) { it } == self
@@ -44,9 +55,17 @@
 
     private companion object {
         const val FEED_KEY = "feed"
+        const val POLL_KEY = "poll"
         const val FREQUENT_READERS = 2
-        val SHORT_WAIT = 1500.milliseconds
+
+        /** Short against the time within which a change has to be in force, so that views are not taken for old. */
+        val SHORT_WAIT = 1.seconds
         val LONG_WAIT = 10.seconds
         val POLL_INTERVAL = 10.seconds
+
+        /** Part of the time within which a change has to be in force; the rest is for the poll and its spreading. */
+        const val MAX_AGE_PERCENT = 70L
+        const val MILLIS_PER_RANK = 50L
+        const val MAX_RANK_MILLIS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -36,7 +36,7 @@
     private enum class Source { FEED, POLL, FORWARDED, RELOAD }
 
     /** What ends the wait of an instance that leaves the feed to another one. */
-    private enum class Wakeup { PEER_AHEAD, SELECTED, INTERVAL }
+    private enum class Wakeup { PEER_AHEAD, SELECTED, OLD, INTERVAL }
 
     private var storeRevision = 0L
 
@@ -230,20 +230,23 @@
         Wakeup.PEER_AHEAD -> pollIfBehind()
         // The instance that read the feed may be gone; the next turn reads it here.
         Wakeup.SELECTED -> null
-        Wakeup.INTERVAL -> poll()
+        Wakeup.OLD, Wakeup.INTERVAL -> poll()
     }
 
     @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun awaitWakeup(): Wakeup = coroutineScope {
         val peerAhead = async { awaitPeerAhead() }
         val selection = async { awaitSelection() }
+        val age = async { awaitOldView() }
         val wakeup = select {
             peerAhead.onAwait { Wakeup.PEER_AHEAD }
             selection.onAwait { Wakeup.SELECTED }
+            age.onAwait { Wakeup.OLD }
             onTimeout(feedReaders.pollInterval) { Wakeup.INTERVAL }
         }
         peerAhead.cancel()
         selection.cancel()
+        age.cancel()
         wakeup
     }
 
@@ -252,6 +255,16 @@
         while (feedReaders.longPollWait() == null) delay(SELECTION_CHECK_INTERVAL)
     }
 
+    /** Returns when the table was last known to be complete so long ago that its readers must be late. */
+    private suspend fun awaitOldView() {
+        while (true) {
+            val age = (clock.nowMillis ?: return) - completeAsOfMillis
+            val left = feedReaders.maxViewAgeMillis() - age
+            if (left <= 0) return
+            delay(left.milliseconds.coerceAtLeast(MIN_AGE_CHECK_INTERVAL))
+        }
+    }
+
     /** Returns a grace period after a peer reported a newer row; the row may have arrived here meanwhile. */
     private suspend fun awaitPeerAhead() {
         peerAheadSignal.receive()
@@ -316,5 +329,6 @@
 
         /** Time between checks whether this instance has to read the feed; about that between two reports of a peer. */
         val SELECTION_CHECK_INTERVAL = 250.milliseconds
+        val MIN_AGE_CHECK_INTERVAL = 50.milliseconds
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -23,7 +23,7 @@
         private val log = DecisionLog()
         val peers = PeerView(name, clocks, log)
         val state = SiteState(clocks, log)
-        private val feedReaders = FeedReaderSelection(name, domain, peers, ::forward)
+        private val feedReaders = FeedReaderSelection(name, domain, peers, CHANGE_MILLIS, ::forward)
         val watcher = StoreWatcher(tables.reader(name), StoreClock(clocks), state, log, feedReaders)
         private var sequence = 0L
         private val jobs = listOf(watcher.start(scope.backgroundScope), scope.backgroundScope.launch { sendReports() })
@@ -31,8 +31,7 @@
         /** How late the process gets its turns; nothing that its peers send is read while it is positive. */
         var lagMillis = 0L
 
-        /** By the shortest time in which operators want a change in force. */
-        val freshness = ViewFreshness(watcher, { lagMillis }, changeMillis = 2_000)
+        val freshness = ViewFreshness(watcher, { lagMillis }, CHANGE_MILLIS)
 
         /** Whether the rows that the reader of its failure domain forwards to it are lost. */
         var losesForwardedRows = false
@@ -89,6 +88,9 @@
 
     companion object {
         val SERVICE = ServiceName("s")
+
+        /** The shortest time in which operators want a change in force. */
+        private const val CHANGE_MILLIS = 2_000L
         private val REPORT_INTERVAL = 100.milliseconds
 
         fun server(state: String = "ready") =
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreWatcherTest.kt
@@ -75,6 +75,21 @@
             }
         }
 
+        // Guards against requests to departed servers (DRAIN): those that read the feeds for all others are heard, but
+        // their own calls take seconds, so the others learned of a departure when these had read it.
+        test("instances learn of changes although all that read the feeds are short of processor time") {
+            runTest {
+                val tables = FakeTables(this)
+                val instances = instancesThatFollow(tables, perDomain = 3)
+                val (readers, others) = instances.all.partition { it.isReader }
+                tables.starved += readers.map { it.name }
+                delay(1.seconds)
+                tables.put("servers", "s1", FollowingInstances.server(state = "draining"))
+                delay(DRAIN_TIME)
+                others.filter { it.uses("s1") }.map { it.name } shouldBe emptyList()
+            }
+        }
+
         // Guards against requests to departed servers and with withdrawn keys (DRAIN, CONFIG): an instance that is
         // short of processor time learned of a change that it had missed only by a call, which takes it seconds.
         test("an instance whose own calls take long learns from its peers what it has missed") {
