Count deadlines from the first byte of a request

A request reached a server 0.3 s after its caller's deadline: it counted from the moment at which a thread took the request up, after its body was read and after it had waited for a turn. Now it counts from the first byte that was read, less the time by which the process is late, in which bytes may have waited unread; a request that is past it is refused as not run at once.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -100,6 +100,7 @@
                 isLeaving = { refusesRequests },
                 hasProcessorTime = shedder::accepts,
                 remainingMillis = { stopsAtMillis?.let { it - clocks.steadyMillis } },
+                lagMillis = { lag.millis },
                 isViewOld = { freshness.isOld },
                 isViewOutOfDate = { freshness.isOutOfDate },
             ),
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/CallerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/CallerExchange.kt
@@ -9,6 +9,8 @@
     public val host: String,
     public val headers: List<Pair<String, String>>,
     public val body: ByteArray,
+    /** Time since the first byte of the request was read, when the request was handed over. */
+    public val ageMillis: Long = 0,
 ) {
     /** Path without the query. */
     public val path: String get() = target.substringBefore('?')
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/GatewayHttpServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/GatewayHttpServer.kt
@@ -159,6 +159,7 @@
             host = request.getHeader("Host").orEmpty().substringBefore(':').lowercase(),
             headers = headers,
             body = body,
+            ageMillis = request.ageMillis(),
         )
     }
 
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/ServletConnection.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/ServletConnection.kt
@@ -3,6 +3,7 @@
 import jakarta.servlet.http.HttpServletRequest
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.util.NanoTime
 import java.net.StandardSocketOptions
 import java.nio.channels.SocketChannel
 
@@ -13,6 +14,10 @@
 public fun HttpServletRequest.connection(): EndPoint =
     ServletContextRequest.getServletContextRequest(this).connectionMetaData.connection.endPoint
 
+/** Milliseconds since the first byte of this request was read: it may have waited for its body and for a thread. */
+internal fun HttpServletRequest.ageMillis(): Long =
+    NanoTime.millisSince(ServletContextRequest.getServletContextRequest(this).beginNanoTime)
+
 /**
  * Sets whether the end of the connection resets it, also when the process is killed. Bytes that were written but not
  * yet sent are lost with a reset, so turn it off before an orderly end.
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AcceptanceConditions.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/AcceptanceConditions.kt
@@ -8,6 +8,8 @@
     public val hasProcessorTime: () -> Boolean = { true },
     /** Milliseconds until the process ends; null unless it is stopping. */
     public val remainingMillis: () -> Long? = { null },
+    /** How late the process gets its turns, so that bytes of a request may have waited unread. */
+    public val lagMillis: () -> Long = { 0 },
     /** Whether the view of the site may lack a change that has to be in force. */
     public val isViewOld: () -> Boolean = { false },
     /** Whether the view of the site is old although something newer is there to be known. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -51,7 +51,8 @@
 
     /** Serves one request until its response is complete or its caller has disconnected. */
     public suspend fun serve(exchange: CallerExchange) {
-        val arrivedAtMillis = clocks.steadyMillis
+        // A caller's deadline runs from its sending, whatever the request has waited for here.
+        val arrivedAtMillis = clocks.steadyMillis - exchange.request.ageMillis - conditions.lagMillis()
         inFlightCount.incrementAndGet()
         try {
             if (conditions.isLeaving()) return refuse(exchange, stopping("the instance is stopping"), arrivedAtMillis)
@@ -72,6 +73,10 @@
     }
 
     private suspend fun serveAdmitted(exchange: CallerExchange, request: AdmittedRequest) {
+        if (request.deadlineMillis <= clocks.steadyMillis) {
+            val refusal = Refusal(ErrorKind.NoCapacity, "the deadline passed while the request waited")
+            return refuse(exchange, refusal, request.arrivedAtMillis)
+        }
         val expected = context.durations.expectedMillis(request.route.name)
         val remaining = conditions.remainingMillis()
         if (expected != null && remaining != null && expected > remaining) {
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -56,6 +56,7 @@
 
     var isLeaving = false
     var hasProcessorTime = true
+    var lagMillis = 0L
     var isViewOld = false
     var isViewOutOfDate = false
 
@@ -90,6 +91,7 @@
             { isLeaving },
             { hasProcessorTime },
             { remainingMillis },
+            { lagMillis },
             { isViewOld },
             { isViewOutOfDate },
         ),
@@ -216,6 +218,7 @@
     path: String,
     method: String = "POST",
     headers: List<Pair<String, String>> = emptyList(),
+    ageMillis: Long = 0,
     private val disconnectsWhen: (() -> Boolean) = { false },
 ) : CallerExchange {
     override val request = CallerRequest(
@@ -224,6 +227,7 @@
         "h",
         DEFAULT_HEADERS.filter { (name, _) -> headers.none { it.first == name } } + headers,
         ByteArray(0),
+        ageMillis,
     )
     var status = 0
     var headers = emptyList<Pair<String, String>>()
