Keep to the limits that servers name, over all instances

Change: the requests of 4 s are divided among as many instances as there are requests, by rendezvous hashing; the others send that server none, and are told by reports what was named, changed or ended. Retries, moves and resumed streams take their permit where all attempts are placed. Others take over when nothing was heard for 12 s; a limit ends with its process, or with a response to a later request that names none. The limiter of cold servers now does both: it lost the fraction of a rate, and gave a rate below one a second no request at all. ServerLimitFlowTest with the header unread, as before: 8 of 12 failed, up to 184 requests in 4 s of 9 to 42 allowed, 274 with retries. All 12 green now at 8 and 40 instances, SharedRateLimiterTest at 1 to 300 and 0.1 to 40 a second; its cases for cold servers are those of ColdServerRateLimiterTest, bounds as before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -28,6 +28,7 @@
 import org.berylpoint.entry.gateway.peers.PeerReportExchange
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.gateway.server.HttpServerClient
+import org.berylpoint.entry.gateway.server.ServerLimits
 import org.berylpoint.entry.gateway.server.ServerNotices
 import org.berylpoint.entry.gateway.server.ServerPool
 import org.berylpoint.entry.gateway.site.FeedReaderSelection
@@ -91,11 +92,12 @@
         log.event("server", "bytes that are no valid response", "address" to address, "fault" to fault.label)
     }
     private val notices = ServerNotices(clocks, log)
+    private val limits = ServerLimits(settings.instance, clocks, peers, log)
     private val pool =
-        ServerPool(settings.instance, settings.failureDomain, clocks, site, peers, rollouts, notices, random)
+        ServerPool(settings.instance, settings.failureDomain, clocks, site, peers, rollouts, notices, limits, random)
     private val flow =
         RequestFlow(
-            clocks, site, pool, client, notices, counts, versions, quarantine, log, metrics, random,
+            clocks, site, pool, client, notices, limits, counts, versions, quarantine, log, metrics, random,
             AcceptanceConditions(
                 isLeaving = { refusesRequests },
                 hasProcessorTime = shedder::accepts,
@@ -189,6 +191,9 @@
         metrics.gauge("berylpoint_servers_revision", "Revision of the newest change of a server's entry applied.") {
             (watcher.revisions[StoreNames.SERVERS] ?: 0).toDouble()
         }
+        metrics.gauge("berylpoint_limited_servers", "Servers that name a limit of requests in their responses.") {
+            limits.size.toDouble()
+        }
         metrics.gauge("berylpoint_quarantined_parts", "Prompt parts for which requests are refused.") {
             quarantine.size.toDouble()
         }
@@ -294,6 +299,7 @@
     private fun onReport(report: NodeReport) {
         counts.mergeReport(report)
         quarantine.mergeReport(report)
+        limits.mergeReport(report)
         watcher.notePeer(report)
         watcher.changesFor(report).forEach { reportExchange.sendRows(it, report.address) }
     }
@@ -319,7 +325,7 @@
             silentProcesses = peers.usageOfSilentProcesses(),
             isCutOffFromStore = watcher.isCutOff,
         )
-        return quarantine.addTo(versions.addTo(counts.addTo(base)))
+        return limits.addTo(quarantine.addTo(versions.addTo(counts.addTo(base))))
     }
 
     private fun dump(): String = buildJsonObject {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/FlowContext.kt
@@ -5,6 +5,7 @@
 import org.berylpoint.entry.gateway.GatewayMetrics
 import org.berylpoint.entry.gateway.caller.CallerExchange
 import org.berylpoint.entry.gateway.server.ServerClient
+import org.berylpoint.entry.gateway.server.ServerLimits
 import org.berylpoint.entry.gateway.server.ServerNotices
 import org.berylpoint.entry.gateway.server.ServerPool
 import org.berylpoint.platform.wire.RequestHeaders
@@ -15,6 +16,7 @@
     val pool: ServerPool,
     val client: ServerClient,
     val notices: ServerNotices,
+    val limits: ServerLimits,
     val counts: SharedCounts,
     val versions: VersionOutcomes,
     val quarantine: PromptQuarantine,
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -75,7 +75,17 @@
         )
         placement.markTried(reservation)
         val attempt =
-            ServerAttempt(exchange, request, reservation, serverExchange, progress, flow.notices, clocks, ::tryMove)
+            ServerAttempt(
+                exchange,
+                request,
+                reservation,
+                serverExchange,
+                progress,
+                flow.notices,
+                flow.limits,
+                clocks,
+                ::tryMove,
+            )
         val end = try {
             attempt.run { onStarted(reservation) }
         } catch (e: IOException) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestFlow.kt
@@ -6,6 +6,7 @@
 import org.berylpoint.entry.gateway.GatewayMetrics
 import org.berylpoint.entry.gateway.caller.CallerExchange
 import org.berylpoint.entry.gateway.server.ServerClient
+import org.berylpoint.entry.gateway.server.ServerLimits
 import org.berylpoint.entry.gateway.server.ServerNotices
 import org.berylpoint.entry.gateway.server.ServerPool
 import org.berylpoint.entry.gateway.site.SiteState
@@ -23,6 +24,7 @@
     pool: ServerPool,
     client: ServerClient,
     notices: ServerNotices,
+    limits: ServerLimits,
     counts: SharedCounts,
     versions: VersionOutcomes,
     quarantine: PromptQuarantine,
@@ -36,6 +38,7 @@
         pool,
         client,
         notices,
+        limits,
         counts,
         versions,
         quarantine,
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/ServerAttempt.kt
@@ -4,6 +4,7 @@
 import org.berylpoint.entry.gateway.caller.CallerExchange
 import org.berylpoint.entry.gateway.server.ServerEvent
 import org.berylpoint.entry.gateway.server.ServerExchange
+import org.berylpoint.entry.gateway.server.ServerLimits
 import org.berylpoint.entry.gateway.server.ServerNotices
 import org.berylpoint.entry.gateway.server.ServerReservation
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,6 +17,7 @@
     private val serverExchange: ServerExchange,
     private val progress: ResponseProgress,
     private val notices: ServerNotices,
+    private val limits: ServerLimits,
     private val clocks: Clocks,
     /** Reserves capacity for a further attempt at another server; false if there can't be one now. */
     private val tryMove: () -> Boolean,
@@ -68,6 +70,7 @@
             is ServerEvent.Head -> {
                 head = event
                 notices.record(reservation.server.entry, event)
+                limits.record(reservation.server.entry, event.requestsPerSecond, reservation.reservedAtMillis)
                 recordProgress()
                 if (!event.isNotRun && !event.isEventStream) markStarted(onStarted)
             }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerExchange.kt
@@ -71,8 +71,9 @@
         val headers = head.headers.filter { (name, _) -> name.lowercase() !in CONNECTION_HEADERS }
         val isNotRun = head.values(RequestHeaders.NOT_RUN).isNotEmpty() || head.status == MISDIRECTED_REQUEST
         val isLeaving = head.values(RequestHeaders.SERVER_LEAVING).any { it == LEAVING }
+        val limit = requestsPerSecond(head)
         events.trySend(
-            ServerEvent.Head(head.status, headers, isNotRun, isStream, isLeaving, retryAfterMillis(head)),
+            ServerEvent.Head(head.status, headers, isNotRun, isStream, isLeaving, retryAfterMillis(head), limit),
         )
     }
 
@@ -83,6 +84,11 @@
         return seconds?.takeIf { it > 0 && it <= MAX_RETRY_AFTER_SECONDS }?.let { (it * MILLIS_PER_SECOND).toLong() }
     }
 
+    /** The number in `Server-Limit`; what is no such number is ignored. */
+    private fun requestsPerSecond(head: ResponseHead): Double? =
+        head.values(RequestHeaders.SERVER_LIMIT).firstNotNullOfOrNull { it.trim().toDoubleOrNull() }
+            ?.takeIf { it >= 0 && it.isFinite() }
+
     /** Whether the body may be a stream by its type; a stream may have none. */
     private fun hasEventStreamType(head: ResponseHead): Boolean {
         val types = head.values("Content-Type")
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerExchange.kt
@@ -36,6 +36,8 @@
         public val isServerLeaving: Boolean = false,
         /** Time for which the server wants no requests from this instance; null if it names none. */
         public val retryAfterMillis: Long? = null,
+        /** Requests per second that the server takes from all instances together; null if it names none. */
+        public val requestsPerSecond: Double? = null,
     ) : ServerEvent
 
     /**
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerPool.kt
@@ -12,12 +12,13 @@
 import org.berylpoint.peer.LoadPart
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.policy.placement.AttemptSignal
-import org.berylpoint.policy.placement.ColdServerRateLimiter
 import org.berylpoint.policy.placement.PlacementRequest
 import org.berylpoint.policy.placement.ServerCandidate
 import org.berylpoint.policy.placement.ServerHealth
 import org.berylpoint.policy.placement.ServerSelection
 import org.berylpoint.policy.placement.ServerSelector
+import org.berylpoint.policy.placement.SharedRate
+import org.berylpoint.policy.placement.SharedRateLimiter
 import kotlin.random.Random
 
 /**
@@ -64,10 +65,12 @@
     private val peers: PeerView,
     private val versionSelector: VersionSelector,
     private val notices: ServerNotices,
+    private val limits: ServerLimits,
     private val random: Random,
 ) {
-    /** Load that this instance puts on a server. [coldServerRateLimiter] bounds it while the server is cold. */
-    private class Load(val coldServerRateLimiter: ColdServerRateLimiter?) {
+    /** Load that this instance puts on a server. [coldLimiter] bounds it while the server is cold. */
+    private class Load {
+        val coldLimiter = SharedRateLimiter(COLD_WINDOW_MILLIS, COLD_MIN_PER_SENDER)
         var active = 0
         var pendingTokens = 0L
         val health = ServerHealth()
@@ -108,11 +111,9 @@
         demand: PlacementRequest,
     ): ReservationResult {
         val now = clocks.steadyMillis
-        val accepting = eligible.filter { notices.waitMillis(it.entry) == 0L }
-        if (accepting.isEmpty() && eligible.isNotEmpty()) {
-            return ReservationResult.Full(eligible.minOf { notices.waitMillis(it.entry) })
-        }
-        val available = accepting.filterNot { loadOf(it, service).health.isEjected(now) }.ifEmpty { accepting }
+        val accepting = eligible.filter { waitMillis(it) == 0L }
+        if (accepting.isEmpty() && eligible.isNotEmpty()) return ReservationResult.Full(eligible.minOf(::waitMillis))
+        val available = accepting.filterNot { loadOf(it).health.isEjected(now) }.ifEmpty { accepting }
         val remote = remoteLoads()
         var untried = available
         while (true) {
@@ -126,7 +127,7 @@
                 is ServerSelection.Selected -> {
                     val server = untried.first { it.entry.id == choice.server }
                     if (mayUse(server, service, now)) {
-                        return ReservationResult.Reserved(newReservation(server, service, choice, now))
+                        return ReservationResult.Reserved(newReservation(server, choice, now))
                     }
                     untried = untried - server
                 }
@@ -164,21 +165,28 @@
     public fun loadParts(): List<LoadPart> = loads.filterValues { it.second.active > 0 }
         .map { (id, state) -> LoadPart(id.value, state.second.active, state.second.pendingTokens) }
 
-    private fun mayUse(server: ObservedServer, service: Service, now: Long): Boolean {
-        if (!server.isCold(now)) return true
-        val rateLimiter = loadOf(server, service).coldServerRateLimiter ?: return true
+    /** Time for which [server] wants no requests from this instance, by what it has said itself. */
+    private fun waitMillis(server: ObservedServer): Long =
+        maxOf(notices.waitMillis(server.entry), limits.waitMillis(server.entry))
+
+    /** Takes a request to [server] out of the limits that hold for it; false if one has no room. */
+    private fun mayUse(server: ObservedServer, service: Service, now: Long): Boolean =
+        mayUseCold(server, service, now) && limits.tryAcquire(server.entry)
+
+    private fun mayUseCold(server: ObservedServer, service: Service, now: Long): Boolean {
+        if (!server.isCold(now) || service.coldRequestsPerSecond <= 0) return true
         // An instance that doesn't know all others yet would use the cold server's whole rate, as would each of them.
         if (!peers.isPeerListLoaded) return false
-        return rateLimiter.tryAcquire(self, server.entry.id.value, peers.instanceNames(), now)
+        val rate = SharedRate(service.coldRequestsPerSecond, server.entry.id.value, self, peers.instanceNames())
+        return loadOf(server).coldLimiter.tryAcquire(rate, now)
     }
 
     private fun newReservation(
         server: ObservedServer,
-        service: Service,
         choice: ServerSelection.Selected,
         now: Long,
     ): ServerReservation {
-        val load = loadOf(server, service)
+        val load = loadOf(server)
         load.active++
         load.pendingTokens += choice.prefillTokens
         return ServerReservation(server, choice.expectedMillis, now, choice.prefillTokens)
@@ -186,7 +194,7 @@
 
     private fun candidate(server: ObservedServer, service: Service, remote: Map<String, LoadPart>): ServerCandidate {
         val entry = server.entry
-        val load = loadOf(server, service)
+        val load = loadOf(server)
         val others = remote[entry.id.value]
         return ServerCandidate(
             id = entry.id,
@@ -200,12 +208,11 @@
     }
 
     /** Load of [server]; starts at zero again when the server has restarted under the same id. */
-    private fun loadOf(server: ObservedServer, service: Service): Load {
+    private fun loadOf(server: ObservedServer): Load {
         val entry = server.entry
         val known = loads[entry.id]
         if (known != null && known.first.startedAtMillis == entry.startedAtMillis) return known.second
-        val load =
-            Load(ColdServerRateLimiter(service.coldRequestsPerSecond).takeIf { service.coldRequestsPerSecond > 0 })
+        val load = Load()
         loads[entry.id] = ServerKey(entry.id, entry.startedAtMillis) to load
         loads.keys.retainAll(site.view.servers.keys + loads.filterValues { it.second.active > 0 }.keys)
         return load
@@ -230,6 +237,10 @@
         /** Prompt tokens that an engine reads per millisecond; a server's measured slowness corrects the estimate. */
         const val TOKENS_PER_MILLI = 80.0
 
+        /** The span in which the rate of a cold server is bounded. */
+        const val COLD_WINDOW_MILLIS = 1_000L
+        const val COLD_MIN_PER_SENDER = 2
+
         /** Wait before the next try when cold servers accept no more requests. */
         const val COLD_WAIT_MILLIS = 500L
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/LockOrderTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/LockOrderTest.kt
@@ -6,6 +6,7 @@
 import org.berylpoint.entry.gateway.duty.RolloutDuty
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.gateway.server.ReservationResult
+import org.berylpoint.entry.gateway.server.ServerLimits
 import org.berylpoint.entry.gateway.server.ServerNotices
 import org.berylpoint.entry.gateway.server.ServerPool
 import org.berylpoint.entry.gateway.server.VersionSelector
@@ -70,7 +71,17 @@
         duty.selectVersion(service, versions)
     }
     val pool =
-        ServerPool("self", FailureDomain("a"), clocks, state, peers, selector, ServerNotices(clocks, log), random)
+        ServerPool(
+            "self",
+            FailureDomain("a"),
+            clocks,
+            state,
+            peers,
+            selector,
+            ServerNotices(clocks, log),
+            ServerLimits("self", clocks, peers, log),
+            random,
+        )
 
     init {
         val order = """{"service":"s","to":"v2","duration_s":10}"""
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -14,6 +14,7 @@
 import org.berylpoint.entry.gateway.server.ServerClient
 import org.berylpoint.entry.gateway.server.ServerEvent
 import org.berylpoint.entry.gateway.server.ServerExchange
+import org.berylpoint.entry.gateway.server.ServerLimits
 import org.berylpoint.entry.gateway.server.ServerNotices
 import org.berylpoint.entry.gateway.server.ServerPool
 import org.berylpoint.entry.gateway.server.ServerRequest
@@ -37,15 +38,23 @@
 
 /** The request path of one instance in virtual time, with servers that follow scripts. */
 @OptIn(ExperimentalCoroutinesApi::class)
-internal class RequestFlowFixture(scope: TestScope, servers: Int = 3, slots: Int = 4, isConfigured: Boolean = true) {
+internal class RequestFlowFixture(
+    scope: TestScope,
+    servers: Int = 3,
+    slots: Int = 4,
+    isConfigured: Boolean = true,
+    private val name: String = "self",
+    seed: Int = 1,
+) {
     private val clocks = Clocks(scope.testScheduler.timeSource) { scope.testScheduler.currentTime }
     private val log = DecisionLog()
     val site = SiteState(clocks, log)
-    val peers = PeerView("self", clocks, log)
+    val peers = PeerView(name, clocks, log)
     val counts = SharedCounts(clocks, peers, BOUNDS)
-    private val random = Random(1)
+    private val random = Random(seed)
     private val notices = ServerNotices(clocks, log)
-    val pool = ServerPool("self", FailureDomain("a"), clocks, site, peers, { _, _ -> null }, notices, random)
+    private val limits = ServerLimits(name, clocks, peers, log)
+    val pool = ServerPool(name, FailureDomain("a"), clocks, site, peers, { _, _ -> null }, notices, limits, random)
 
     /** Time until the first byte of a request is sent, as when a connection has to be opened. */
     var sendDelayMillis = 0L
@@ -69,18 +78,22 @@
     /** Selects the script of a send by the request, instead of [scripts]. */
     var scriptFor: ((ServerRequest) -> List<ScriptedEvent>)? = null
 
+    /** Makes the script of a send to the server with this id, instead of [scripts]. */
+    var scriptForServer: ((String) -> List<ScriptedEvent>)? = null
+
     private val client = ServerClient { id, _, request -> ScriptedExchange(id, request) }
 
     private fun nextScript() = if (scripts.size > 1) scripts.removeFirst() else scripts.first()
 
     val versions = VersionOutcomes()
-    val quarantine = PromptQuarantine("self", clocks, peers, log)
+    val quarantine = PromptQuarantine(name, clocks, peers, log)
     val flow = RequestFlow(
         clocks,
         site,
         pool,
         client,
         notices,
+        limits,
         counts,
         versions,
         quarantine,
@@ -115,6 +128,14 @@
 
     fun configure() = site.replaceOperatorRows(listOf(StoreRow("op", "config", CONFIG.encodeToByteArray(), 1)))
 
+    /** The report of this instance, as number [sequence], with what servers have said of their limits. */
+    fun report(sequence: Long) = limits.addTo(NodeReport(name, "a", 1, sequence, 1, address = name))
+
+    /** Takes over a report of another instance. */
+    fun receive(report: NodeReport) {
+        if (peers.accept(report) != null) limits.mergeReport(report)
+    }
+
     /** Tokens to prefill that count as demand so far. */
     fun prefillTokens(): Long = counts.addTo(NodeReport("self", "a", 1, 1, 1)).demands.sumOf { it.prefillTokens }
 
@@ -142,7 +163,7 @@
         private fun send() {
             isSent = true
             sent += id.value to request
-            remaining += scriptFor?.invoke(request) ?: nextScript()
+            remaining += scriptForServer?.invoke(id.value) ?: scriptFor?.invoke(request) ?: nextScript()
         }
 
         private suspend fun nextOfScript(timeout: Duration): ServerEvent? {
@@ -168,6 +189,7 @@
                 isEventStream = request.isStream && event.status == 200 && !isOfOtherType,
                 isServerLeaving = event.header("Server-Leaving") == "1",
                 retryAfterMillis = event.header("Retry-After")?.let { it.toLong() * 1_000 },
+                requestsPerSecond = event.header("Server-Limit")?.toDouble(),
             )
         }
 
@@ -196,7 +218,8 @@
              {"name":"fresh","health_path":"/health","max_conns":100,"cold_start_s":3.0,"cold_per_s":8}],
             "limits":{"max_body_bytes":1000},
             "tenants":[{"name":"w","api_keys":["k"],"unit":"token_stream","plain_tokens":1,
-             "rate_per_s":100,"burst":100}]}"""
+             "rate_per_s":100,"burst":100},
+             {"name":"uncapped","api_keys":["free"],"unit":"token_stream","plain_tokens":1}]}"""
 
         fun entry(
             address: String,
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -56,6 +56,8 @@
     @CborLabel(24) val isPartial: Boolean = false,
     /** Time on the store's clock, in milliseconds, up to which the sender has applied all changes, by table. */
     @CborLabel(25) val completeAsOf: Map<String, Long> = emptyMap(),
+    /** Limits that servers have named to the sender lately. */
+    @CborLabel(26) val limits: List<LimitPart> = emptyList(),
 )
 
 /** What one process counted for [NodeReport.usage] in its last report. */
@@ -93,6 +95,16 @@
     @CborLabel(3) val pendingTokens: Long,
 )
 
+/** The requests per second that a server process takes from all instances; null if it named no limit any more. */
+@Serializable
+public data class LimitPart(
+    @CborLabel(1) val server: String,
+    @CborLabel(2) val startedAtMillis: Long,
+    @CborLabel(3) val perSecond: Double?,
+    /** Time from the response that said so to the report. */
+    @CborLabel(4) val ageMillis: Long,
+)
+
 /** Requests that began to run in one usage window, by workspace. */
 @Serializable
 public data class WindowPart(@CborLabel(1) val window: Long, @CborLabel(2) val counts: Map<String, Long>)
