--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -215,7 +215,8 @@
 
     private fun resendOrRefuse(end: AttemptEnd): Boolean {
         val isViewOutOfDate = (end as? AttemptEnd.Withheld)?.obstacle == SendObstacle.VIEW_OUT_OF_DATE
-        val mayResend = attempts.allowsSend && !isViewOutOfDate &&
+        val mayResend = attempts.allowsSend &&
+            !isViewOutOfDate &&
             remainingMillis() > AdmittedRequest.MIN_REMAINING_MILLIS
         if (mayResend && (end.isUnsent || counts.tryRetry(request.service.name))) return true
         when {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerLimits.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerLimits.kt
@@ -54,15 +54,21 @@
         for (part in report.limits) {
             val process = ServerProcess(part.server, part.startedAtMillis)
             val heardAtMillis = clocks.steadyMillis - part.ageMillis
-            val known = processes[process]
-            if (known == null || heardAtMillis > known.atMillis) hear(process, part.perSecond, heardAtMillis, isOwn = false)
+            if (heardAtMillis <= (processes[process]?.atMillis ?: Long.MIN_VALUE)) continue
+            hear(process, part.perSecond, heardAtMillis, isOwn = false)
         }
     }
 
     private fun hear(process: ServerProcess, perSecond: Double?, atMillis: Long, isOwn: Boolean) {
         val known = processes[process]
         if (known?.perSecond != perSecond) {
-            log.event("server", "a server names a limit", "server" to process.id, "perSecond" to perSecond, "own" to isOwn)
+            log.event(
+                "server",
+                "a server names a limit",
+                "server" to process.id,
+                "perSecond" to perSecond,
+                "own" to isOwn,
+            )
         }
         val limiter = known?.limiter ?: SharedRateLimiter(WINDOW_MILLIS, MIN_PER_SENDER)
         val others = if (processes.size < MAX_PROCESSES) processes else processes.remove(oldest())
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerNotices.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerNotices.kt
@@ -46,7 +46,8 @@
     }
 
     /** Whether [server] has said that it leaves, so that it gets no more requests. */
-    public fun isLeaving(server: RegisteredServer): Boolean = leaving.isNotEmpty() && ServerProcess.of(server) in leaving
+    public fun isLeaving(server: RegisteredServer): Boolean =
+        leaving.isNotEmpty() && ServerProcess.of(server) in leaving
 
     /** Milliseconds for which [server] still wants no requests; 0 if it takes them. */
     public fun waitMillis(server: RegisteredServer): Long {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/TableFeed.kt
@@ -123,7 +123,7 @@
 
     private fun partsOf(rows: List<StoreRow>) = rows.map { RowPart(it.key, it.value, it.revision, it.isDeleted) }
 
-    /** Records that a peer has applied all changes up to [revision], and knows of none after it up to [completeAsOf]. */
+    /** Records that a peer has applied all changes up to [revision], and knows of no later one up to [completeAsOf]. */
     fun notePeer(revision: Long, completeAsOf: Long) {
         if (noteComplete(revision, completeAsOf)) return
         peerRevision = maxOf(peerRevision, revision)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/ViewFreshness.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/ViewFreshness.kt
@@ -7,11 +7,7 @@
  * knows better, as in an outage of the store, requests are served by it all the same. They are not where something
  * newer is there to be known: peers have it, or it may wait here to be read since the process gets no turns.
  */
-public class ViewFreshness(
-    private val watcher: StoreWatcher,
-    private val lagMillis: () -> Long,
-    changeMillis: Long,
-) {
+public class ViewFreshness(private val watcher: StoreWatcher, private val lagMillis: () -> Long, changeMillis: Long) {
     private val maxAgeMillis = changeMillis - MARGIN_MILLIS
 
     /** Whether the view may lack a change that has to be in force. */
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/DepartureFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/DepartureFlowTest.kt
@@ -128,5 +128,4 @@
         }
     })
 
-
 private fun streamResponse() = listOf(head(200), event(1), end())
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/ServerLimitFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/ServerLimitFlowTest.kt
@@ -83,7 +83,7 @@
             }
         }
 
-        // Guards against a limit that stays for good, since the instances that may send have no requests for the server.
+        // Guards against a limit that stays for good: the instances that may send have no requests for the server.
         test("a limit ends also when the instances that share it are gone") {
             runTest {
                 val site = LimitedSite(this, instances = 8)
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/server/HttpServerClientTest.kt
@@ -63,6 +63,24 @@
             }
         }
 
+        // Guards against a limit that is missed, and against a value that excludes the server by mistake (LIMIT).
+        for ((value, limit) in mapOf(
+            "1.6" to 1.6,
+            " 0.5 " to 0.5,
+            "0" to 0.0,
+            "-1" to null,
+            "many" to null,
+            "NaN" to null,
+            "Infinity" to null,
+        )) {
+            test("a response with `Server-Limit: $value` names the limit $limit") {
+                RawServer("HTTP/1.1 200 OK\r\nServer-Limit: $value\r\nContent-Length: 0\r\n\r\n").use {
+                    val head = collect(it, request("/a")).first().shouldBeInstanceOf<ServerEvent.Head>()
+                    head.requestsPerSecond shouldBe limit
+                }
+            }
+        }
+
         test("a success says that the server leaves, and nothing of when it takes requests") {
             RawServer("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n").use {
                 val head = collect(it, request("/a")).first().shouldBeInstanceOf<ServerEvent.Head>()
--- a/policy/src/main/kotlin/org/berylpoint/policy/placement/SharedRateLimiter.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/placement/SharedRateLimiter.kt
@@ -66,7 +66,7 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
-        /** A server that takes no requests still gets one now and then: only a response shows that it takes them again. */
+        /** A server that takes no requests still gets one at times: only a response shows that its limit has ended. */
         const val MIN_PER_SECOND = 0.05
 
         /** Windows are a little longer, because a request arrives later than it is sent. */
--- a/policy/src/test/kotlin/org/berylpoint/policy/placement/SharedRateLimiterTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/placement/SharedRateLimiterTest.kt
@@ -42,7 +42,8 @@
         }
 
         test("an instance that is not among the known instances sends nothing") {
-            SharedRateLimiter(COLD_WINDOW_MILLIS, minPerSender = 2).permits(rate(COLD_PER_SECOND, "unknown", setOf("a", "b"))) shouldBe 0
+            val limiter = SharedRateLimiter(COLD_WINDOW_MILLIS, minPerSender = 2)
+            limiter.permits(rate(COLD_PER_SECOND, "unknown", setOf("a", "b"))) shouldBe 0
         }
 
         test("a wait is named after which the request may be sent") {
