--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -42,7 +42,6 @@
 import org.berylpoint.platform.cloud.CloudClient
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
-import org.berylpoint.platform.wire.StoreNames
 import org.berylpoint.policy.overload.LoadShedder
 import java.net.InetSocketAddress
 import java.nio.channels.ServerSocketChannel
@@ -164,7 +163,7 @@
             "instance" to settings.instance,
             "domain" to settings.failureDomain.name,
         )
-        registerGauges()
+        GatewayGauges(metrics, flow, site, watcher, peers, reportExchange, quarantine, limits, lag, shedder).register()
         watcher.start(siteScope)
         // Callers wait for the addresses to open, so everything that can start later does.
         front.start()
@@ -179,42 +178,6 @@
         log.event("process", "listening for requests", "caller" to settings.callerAddress)
     }
 
-    private fun registerGauges() {
-        metrics.gauge("berylpoint_requests_in_flight", "Requests in progress.") { flow.inFlight.toDouble() }
-        metrics.gauge("berylpoint_config_version", "Version of the configuration in force; -1 for none.") {
-            (site.view.config?.version ?: -1).toDouble()
-        }
-        metrics.gauge("berylpoint_servers_known", "Backend servers known.") { site.view.servers.size.toDouble() }
-        metrics.gauge("berylpoint_servers_missing", "Backend servers kept although their entries are missing.") {
-            site.view.missingServers.size.toDouble()
-        }
-        metrics.gauge("berylpoint_servers_revision", "Revision of the newest change of a server's entry applied.") {
-            (watcher.revisions[StoreNames.SERVERS] ?: 0).toDouble()
-        }
-        metrics.gauge("berylpoint_limited_servers", "Servers that name a limit of requests in their responses.") {
-            limits.size.toDouble()
-        }
-        metrics.gauge("berylpoint_quarantined_parts", "Prompt parts for which requests are refused.") {
-            quarantine.size.toDouble()
-        }
-        metrics.gauge("berylpoint_processor_lag_seconds", "How late the process gets its turns on the processor.") {
-            lag.millis / MILLIS_PER_SECOND.toDouble()
-        }
-        metrics.gauge("berylpoint_view_age_seconds", "Time since the view of the site was known to be complete.") {
-            (watcher.viewAgeMillis ?: 0) / MILLIS_PER_SECOND.toDouble()
-        }
-        metrics.gauge("berylpoint_accepted_share", "Share of requests that is accepted; below 1 under overload.") {
-            shedder.acceptedShare
-        }
-        metrics.gauge("berylpoint_report_bytes", "Bytes of reports sent to other instances since the start.") {
-            (reportExchange.traffic?.bytes ?: 0).toDouble()
-        }
-        metrics.gauge("berylpoint_peers_known", "Other instances known, silent ones included.") {
-            peers.peerCount.toDouble()
-        }
-        metrics.gauge("berylpoint_peers_heard", "Other instances heard lately.") { peers.liveReports.size.toDouble() }
-    }
-
     /**
      * Reports the instance as not ready, serves requests for the time that the load balancer takes to react as far as
      * they may end in time, refuses all after that, and returns when none is in progress or the grace period is about
