--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/StoreWatcher.kt
@@ -8,7 +8,6 @@
 import org.berylpoint.entry.gateway.restarting
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.RowsPart
-import org.berylpoint.platform.store.StoreRow
 import org.berylpoint.platform.store.TableReader
 import org.berylpoint.platform.wire.StoreNames
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,34 +26,36 @@
     private val log: DecisionLog,
     private val feedReaders: FeedReaderSelection,
 ) {
-    private val feeds: List<TableFeed> get() = listOf(operatorFeed, serverFeed)
-    private val operatorFeed = feed(StoreNames.OPERATORS, state::replaceOperatorRows, state::updateOperatorRows)
-    private val serverFeed = feed(StoreNames.SERVERS, state::replaceServerRows, state::updateServerRows)
+    private val copies = listOf(
+        TableCopy(StoreNames.OPERATORS, log, state::replaceOperatorRows, state::updateOperatorRows),
+        TableCopy(StoreNames.SERVERS, log, state::replaceServerRows, state::updateServerRows),
+    )
+    private val feeds = copies.map { TableFeed(it, store, clock, feedReaders, log, state::recordStoreFailure) }
 
     /** Revision of the newest row applied, by table; tables that have not been read yet are missing. */
     public val revisions: Map<String, Long>
-        get() = feeds.filter { it.wasLoaded }.associate { it.table to it.rowRevision }
+        get() = copies.filter { it.wasLoaded }.associate { it.table to it.rowRevision }
 
     /** Time on the store's clock up to which all changes are applied, by table; tables not read yet are missing. */
     public val completeAsOfMillis: Map<String, Long>
-        get() = feeds.filter { it.wasLoaded }.associate { it.table to it.completeAsOfMillis }
+        get() = copies.filter { it.wasLoaded }.associate { it.table to it.completeAsOfMillis }
 
     /** How long ago the view was known to be complete, at most; null before all tables were read. */
     public val viewAgeMillis: Long?
         get() {
-            val now = clock.nowMillis?.takeIf { feeds.all { feed -> feed.wasLoaded } } ?: return null
-            return now - feeds.minOf { it.completeAsOfMillis }
+            val now = clock.nowMillis?.takeIf { copies.all { it.wasLoaded } } ?: return null
+            return now - copies.minOf { it.completeAsOfMillis }
         }
 
     /** Whether a peer has applied a change that is missing here. */
-    public val isBehindPeers: Boolean get() = feeds.any { it.isBehindPeers }
+    public val isBehindPeers: Boolean get() = copies.any { it.isBehindPeers }
 
     /** Whether the store does not serve this instance, so that it depends on its peers for changes. */
     public val isCutOff: Boolean get() = feeds.any { it.isCutOff }
 
     /** Runs until [scope] ends. */
     public fun start(scope: CoroutineScope): Job = scope.launch {
-        for (feed in feeds) launch { restarting(log, "feed ${feed.table}") { feed.run() } }
+        for (feed in feeds) launch { restarting(log, "feed ${feed.copy.table}") { feed.run() } }
         launch {
             while (true) {
                 delay(MISSING_CHECK_INTERVAL)
@@ -66,12 +67,15 @@
     /** Records what the sender of [report] has applied; a table that stays behind is polled. */
     public fun notePeer(report: NodeReport) {
         report.completeAsOf.values.maxOrNull()?.let(clock::advanceTo)
-        for (feed in feeds) feed.notePeer(report.revisions[feed.table] ?: 0, report.completeAsOf[feed.table] ?: 0)
+        for (feed in feeds) {
+            val table = feed.copy.table
+            feed.notePeer(report.revisions[table] ?: 0, report.completeAsOf[table] ?: 0)
+        }
     }
 
     /** Applies rows that a peer forwarded. */
     public fun applyForwardedRows(part: RowsPart) {
-        feeds.firstOrNull { it.table == part.table }?.applyForwarded(part)
+        copies.firstOrNull { it.table == part.table }?.applyForwarded(part)
     }
 
     /**
@@ -87,10 +91,7 @@
 
     /** The changes that a peer lacks which has applied those up to [revisions], by table, as far as they are known. */
     internal fun changesAfter(revisions: Map<String, Long>): List<RowsPart> =
-        feeds.mapNotNull { feed -> revisions[feed.table]?.let(feed::changesAfter) }
-
-    private fun feed(table: String, replace: (List<StoreRow>) -> Unit, update: (List<StoreRow>) -> Unit) =
-        TableFeed(table, store, clock, feedReaders, log, replace, update, state::recordStoreFailure)
+        copies.mapNotNull { copy -> revisions[copy.table]?.let(copy::changesAfter) }
 
     private companion object {
         val MISSING_CHECK_INTERVAL = 500.milliseconds
