Build fewer reports, and list live peers only when asked

Each slice of a round builds a report, and the list of live peers was made anew with each datagram. Now 16 small reports go out at once, 8 only of large ones, and the list is made when somebody asks. Not measured yet. ReportTrafficTest holds its bounds as before.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -75,7 +75,9 @@
      */
     private suspend fun sendRound(channel: ReportChannel, round: Int) {
         val number = sequence.incrementAndGet()
-        val slices = view.takeTargets().chunked(TARGETS_AT_ONCE)
+        val targets = view.takeTargets()
+        val areSmall = !isWhole(round) && targets.all { it.needs == ReportNeeds.NOTHING }
+        val slices = targets.chunked(if (areSmall) SMALL_REPORTS_AT_ONCE else LARGE_REPORTS_AT_ONCE)
         val interval = PeerView.reportIntervalMillis(view.peerCount).milliseconds
         for (slice in slices) {
             sendTo(slice, channel, buildReport(number), round)
@@ -84,18 +86,20 @@
         if (slices.isEmpty()) delay(interval)
     }
 
+    private fun isWhole(round: Int) = round % WHOLE_REPORT_ROUNDS == 0
+
     private fun sendTo(targets: List<ReportTarget>, channel: ReportChannel, report: NodeReport, round: Int) {
-        val isWhole = round % WHOLE_REPORT_ROUNDS == 0
         for ((needs, group) in targets.groupBy { it.needs }) {
-            val part = when (needs) {
-                ReportNeeds.NOTHING -> if (isWhole) report.withoutPartsForNewProcesses() else report.withoutSlowParts()
-                ReportNeeds.WINDOW_TOTALS -> report.withoutSilentProcesses()
-                ReportNeeds.SILENT_PROCESSES -> report.withSomeSilentProcesses(SILENT_PROCESSES_AT_ONCE, round)
-            }
-            channel.send(part, group.map { it.address })
+            channel.send(report.partFor(needs, round), group.map { it.address })
         }
     }
 
+    private fun NodeReport.partFor(needs: ReportNeeds, round: Int): NodeReport = when (needs) {
+        ReportNeeds.NOTHING -> if (isWhole(round)) withoutPartsForNewProcesses() else withoutSlowParts()
+        ReportNeeds.WINDOW_TOTALS -> withoutSilentProcesses()
+        ReportNeeds.SILENT_PROCESSES -> withSomeSilentProcesses(SILENT_PROCESSES_AT_ONCE, round)
+    }
+
     /** Logs what was sent lately: a link that is full of reports delays everything else on it. */
     private suspend fun logTraffic(traffic: ReportTraffic) {
         var bytes = 0L
@@ -120,7 +124,8 @@
         const val WHOLE_REPORT_ROUNDS = 4
 
         /** Instances to which a report goes at once. */
-        const val TARGETS_AT_ONCE = 8
+        const val SMALL_REPORTS_AT_ONCE = 16
+        const val LARGE_REPORTS_AT_ONCE = 8
 
         /** Ended processes whose usage one report carries. */
         const val SILENT_PROCESSES_AT_ONCE = 4
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerView.kt
@@ -36,9 +36,11 @@
     public var isPeerListLoaded: Boolean = false
         internal set
 
-    @Volatile
     private var live: List<NodeReport> = emptyList()
 
+    /** Whether a report has arrived since [live] was computed: most reports come and go without a look at the list. */
+    private var isLiveOutdated = false
+
     /** Adds an instance that is registered in the store. */
     @Synchronized
     public fun add(name: String, address: String) {
@@ -71,7 +73,7 @@
         peer.address = report.address
         peer.lastReportAtMillis = now
         peer.wallOffsetMillis = report.wallMillis - now
-        refreshLiveReports(now)
+        isLiveOutdated = true
         return complete.copy(
             admitted = if (previous == null) recentlyAdmitted(report) else admittedSince(previous, report),
         )
@@ -95,7 +97,7 @@
 
     /** Whether the process of a live instance started less than [millis] ago. */
     @Synchronized
-    public fun hasProcessYoungerThan(millis: Long): Boolean = live.any { processAgeMillis(it) < millis }
+    public fun hasProcessYoungerThan(millis: Long): Boolean = liveReports.any { processAgeMillis(it) < millis }
 
     /** Removes instances that have been silent for [PEER_EXPIRY_MILLIS], and refreshes the list of live ones. */
     @Synchronized
@@ -114,7 +116,11 @@
     }
 
     /** Newest reports of the live instances, those that have reported within the silence timeout. */
-    public val liveReports: List<NodeReport> get() = live
+    public val liveReports: List<NodeReport>
+        @Synchronized get() {
+            if (isLiveOutdated) refreshLiveReports(clocks.steadyMillis)
+            return live
+        }
 
     /**
      * Newest reports of the instances that have reported within a few report intervals: a stricter selection than
@@ -129,7 +135,7 @@
     /** Takes the instances to which the next report is sent, silent ones and some of the forgotten ones included. */
     @Synchronized
     internal fun takeTargets(): List<ReportTarget> {
-        val settled = live.filterNot(::isNewProcess).map { it.name } + self
+        val settled = liveReports.filterNot(::isNewProcess).map { it.name } + self
         val known = peers.values.map { ReportTarget(it.address, needsOf(it, settled)) }
         return known + forgotten.takeDueAddresses(clocks.steadyMillis).map { ReportTarget(it, ReportNeeds.NOTHING) }
     }
@@ -148,7 +154,8 @@
 
     /** Addresses of the live instances of [domain]. */
     @Synchronized
-    public fun liveAddressesIn(domain: String): List<String> = live.filter { it.domain == domain }.map { it.address }
+    public fun liveAddressesIn(domain: String): List<String> =
+        liveReports.filter { it.domain == domain }.map { it.address }
 
     /** Names of all instances known, this one included. */
     @Synchronized
@@ -199,7 +206,7 @@
         val now = clocks.steadyMillis
         val timeout = silenceTimeoutMillis()
         val silent = peers.values.filter { now - it.lastReportAtMillis >= timeout }.mapNotNull { it.report }
-        return (ended.reportsExcept(live) + silent).takeLast(MAX_SILENT_PROCESSES)
+        return (ended.reportsExcept(liveReports) + silent).takeLast(MAX_SILENT_PROCESSES)
             .map { ProcessPart(it.name, it.startedAtMillis, it.usage) }
     }
 
@@ -216,7 +223,9 @@
         maxOf(MIN_SILENCE_TIMEOUT_MILLIS, SILENCE_TIMEOUT_INTERVALS * reportIntervalMillis(peers.size))
 
     private fun refreshLiveReports(now: Long) {
-        live = peers.values.filter { now - it.lastReportAtMillis < silenceTimeoutMillis() }.mapNotNull { it.report }
+        val timeout = silenceTimeoutMillis()
+        live = peers.values.filter { now - it.lastReportAtMillis < timeout }.mapNotNull { it.report }
+        isLiveOutdated = false
     }
 
     private fun isNewer(report: NodeReport, last: NodeReport): Boolean =
