Keep the retry budget whole while a site is cut in two

Found by looking for the class of the limits (a bound that senders share). The slack was divided among the instances that are live, so the parts of a site that is cut used it several times: 160 retries of 50 allowed at four instances that hear nothing of each other. It is divided among all that are known now, as caps are. SharedCountsTest, "the parts of a site", failed before; all flow tests green.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/SharedCounts.kt
@@ -135,10 +135,13 @@
         demands.getOrPut(service) { DemandSum() }.refused++
     }
 
-    /** Takes one retry out of the budget of [service]; false when it is used up. */
+    /**
+     * Takes one retry out of the budget of [service]; false when it is used up. Silent instances keep their part, since
+     * those that are only cut off use it.
+     */
     @Synchronized
     public fun tryRetry(service: ServiceName): Boolean =
-        retriesOf(service).tryRetry(clocks.steadyMillis, peers.liveReports.size + 1)
+        retriesOf(service).tryRetry(clocks.steadyMillis, peers.peerCount + 1)
 
     /** Counts a request of [workspace] that started to run now in its usage. */
     @Synchronized
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
@@ -1,6 +1,7 @@
 package org.berylpoint.entry.gateway.flow
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -32,6 +33,20 @@
             young.counts.tryCharge(POLICY, 1.0).shouldNotBeNull()
         }
 
+        // Guards against retries beyond the budget of all instances while a site is cut in two (BUDGET): the instances of
+        // each part divided the whole slack among themselves, since they counted the others as gone.
+        test("partition: the parts of a site together keep to the slack of the retry budget") {
+            val instances = List(4) { TestInstance("i$it") }
+            for (instance in instances) {
+                for (peer in instances - instance) instance.receive(peer.report(sequence = 1))
+                instance.time += 2.seconds
+            }
+            val retries = instances.sumOf { instance ->
+                generateSequence { instance.counts.tryRetry(ServiceName("s")) }.takeWhile { it }.count()
+            }
+            retries shouldBeLessThanOrEqual RequestFlowFixture.BOUNDS.retrySlack.toInt()
+        }
+
         // Guards against too few servers when shared prompts are prefilled again at other servers.
         test("shared prompt tokens that a server has to prefill count as demand") {
             val instance = TestInstance("a")
