Send nothing to a limited server before the other instances are known

Found by reading: a process that starts knows only itself, so it took the whole limit, as each would that starts at the same time. It waits now until it has read the list of the others, as it does for cold servers. ServerLimitFlowTest, "does not know the other instances yet", failed before (200 instead of 503).

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerLimits.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerLimits.kt
@@ -81,14 +81,19 @@
     public fun waitMillis(server: RegisteredServer): Long {
         if (processes.isEmpty()) return 0
         val process = ServerProcess.of(server)
-        return limited(process) { limiter, rate -> limiter.waitMillis(rate, clocks.steadyMillis) } ?: 0
+        return limited(process) { limiter, rate ->
+            // Alone, it would use the whole limit, as would each instance that starts at the same time.
+            if (peers.isPeerListLoaded) limiter.waitMillis(rate, clocks.steadyMillis) else UNKNOWN_PEERS_WAIT_MILLIS
+        } ?: 0
     }
 
     /** Takes one request to [server] out of its limit; false if it has no room here now. */
     public fun tryAcquire(server: RegisteredServer): Boolean {
         if (processes.isEmpty()) return true
         val process = ServerProcess.of(server)
-        return limited(process) { limiter, rate -> limiter.tryAcquire(rate, clocks.steadyMillis) } ?: true
+        return limited(process) { limiter, rate ->
+            peers.isPeerListLoaded && limiter.tryAcquire(rate, clocks.steadyMillis)
+        } ?: true
     }
 
     private fun <T> limited(process: ServerProcess, action: (SharedRateLimiter, SharedRate) -> T): T? {
@@ -132,6 +137,9 @@
         const val REPORTED_MILLIS = 6_000L
         const val UNHEARD_MILLIS = 12_000L
 
+        /** Time in which an instance that starts reads the list of the others. */
+        const val UNKNOWN_PEERS_WAIT_MILLIS = 500L
+
         /** Servers that were heard of longest ago are forgotten first. */
         const val MAX_PROCESSES = 1_000
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/ServerLimitFlowTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/ServerLimitFlowTest.kt
@@ -129,6 +129,18 @@
             }
         }
 
+        // Guards against a new instance that takes the whole limit for itself, since it knows no others yet.
+        test("an instance that does not know the other instances yet sends nothing to a limited server") {
+            runTest {
+                val fixture = RequestFlowFixture(this, servers = 1)
+                fixture.scripts += listOf(head(200, "Server-Limit" to "8"), data("ok"), end())
+                RecordingCaller("/look/1").also { fixture.flow.serve(it) }.status shouldBe 200
+                RecordingCaller("/look/1").also { fixture.flow.serve(it) }.status shouldBe 503
+                fixture.peers.isPeerListLoaded = true
+                RecordingCaller("/look/1").also { fixture.flow.serve(it) }.status shouldBe 200
+            }
+        }
+
         test("a malformed or missing limit is none") {
             runTest {
                 val fixture = RequestFlowFixture(this, servers = 1)
@@ -175,6 +187,7 @@
     init {
         for ((name, instance) in names.zip(all)) {
             names.forEach { instance.peers.add(it, it) }
+            instance.peers.isPeerListLoaded = true
             instance.scriptForServer = { server -> respond(name, server) }
         }
     }
