Serve by an old view while the store serves nobody, also when turns come late

Found by thinking through: with the store down every view is old, and an instance that gets its turns late refused everything, although nothing newer could wait there to be read. Now its lag counts only while the store serves it, or most of its peers. ViewFreshnessTest, "gets its turns late serves by what is known", failed before; StoreWatcherTest and ViewFreshnessTest green.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -122,7 +122,7 @@
             settings.bounds.changeMillis,
         ) { rows -> reportExchange.forwardRows(settings.failureDomain.name, rows) }
     private val watcher = StoreWatcher(store, StoreClock(clocks), site, log, feedReaders)
-    private val freshness = ViewFreshness(watcher, { lag.millis }, settings.bounds.changeMillis)
+    private val freshness = ViewFreshness(watcher, peers, { lag.millis }, settings.bounds.changeMillis)
     private val discovery =
         PeerDiscovery(settings.instance, settings.reportAddress.toString(), store, peers, log)
     private val reportExchange: PeerReportExchange = PeerReportExchange(
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -31,7 +31,7 @@
         /** How late the process gets its turns; nothing that its peers send is read while it is positive. */
         var lagMillis = 0L
 
-        val freshness = ViewFreshness(watcher, { lagMillis }, CHANGE_MILLIS)
+        val freshness = ViewFreshness(watcher, peers, { lagMillis }, CHANGE_MILLIS)
 
         /** Whether the rows that the reader of its failure domain forwards to it are lost. */
         var losesForwardedRows = false
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/ViewFreshnessTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/ViewFreshnessTest.kt
@@ -70,6 +70,20 @@
             }
         }
 
+        // Guards against a site on small machines that refuses everything when its store is down: an instance that gets
+        // its turns late could not tell that its view is old for want of the store.
+        test("in an outage of the store an instance that gets its turns late serves by what is known") {
+            runTest {
+                val tables = FakeTables(this)
+                val instances = following(tables, perDomain = 3)
+                tables.rejected += instances.all.map { it.name }
+                delay(10.seconds)
+                val late = instances.all.first()
+                late.lagMillis = 600
+                late.freshness.isOutOfDate shouldBe false
+            }
+        }
+
         test("instances that the store turns away know from their peers that their view is current") {
             runTest {
                 val tables = FakeTables(this)
