--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/SharedCountsTest.kt
@@ -33,8 +33,8 @@
             young.counts.tryCharge(POLICY, 1.0).shouldNotBeNull()
         }
 
-        // Guards against retries beyond the budget of all instances while a site is cut in two (BUDGET): the instances of
-        // each part divided the whole slack among themselves, since they counted the others as gone.
+        // Guards against retries beyond the budget of all instances while a site is cut in two (BUDGET): the instances
+        // of each part divided the whole slack among themselves, since they counted the others as gone.
         test("partition: the parts of a site together keep to the slack of the retry budget") {
             val instances = List(4) { TestInstance("i$it") }
             for (instance in instances) {
