--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -1,5 +1,6 @@
 package org.berylpoint.entry.gateway
 
+import arrow.core.Either
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -37,6 +38,7 @@
 import org.berylpoint.entry.gateway.site.StoreWatcher
 import org.berylpoint.entry.gateway.site.ViewFreshness
 import org.berylpoint.entry.settings.GatewaySettings
+import org.berylpoint.entry.settings.SettingFault
 import org.berylpoint.peer.NodeReport
 import org.berylpoint.peer.ReportSocket
 import org.berylpoint.platform.cloud.CloudClient
@@ -222,8 +224,8 @@
     }
 
     /** Reads the settings again and logs whether they changed; changes take effect at the next start. */
-    public fun reload(file: java.io.File) {
-        GatewaySettings.read(file).fold(
+    public fun reload(read: () -> Either<List<SettingFault>, GatewaySettings>) {
+        read().fold(
             ifLeft = { log.event("process", "the settings read again are invalid", "faults" to it) },
             ifRight = { log.event("process", "the settings were read again", "changed" to (it != settings)) },
         )
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -5,8 +5,10 @@
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.OptionTransformContext
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.validate
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.coroutines.runBlocking
@@ -64,12 +66,20 @@
 /** Runs on the operators' platform until SIGTERM, then stops gracefully; SIGHUP reloads the settings. */
 private class ServeCommand : CliktCommand(name = "serve") {
     private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
+    private val drainMillis by option(
+        envvar = "BERYLPOINT_DRAIN_MILLIS",
+        help = "Time in which a departed server must get no more requests; goes before the settings file.",
+    ).validate { requireMillis(it) }
+    private val configMillis by option(
+        envvar = "BERYLPOINT_CONFIG_MILLIS",
+        help = "Time in which a configuration must be in force; goes before the settings file.",
+    ).validate { requireMillis(it) }
 
     override fun help(context: Context): String =
         "Runs an entry instance on the operators' platform. Example: berylpoint serve --settings entry.ini"
 
     override fun run() {
-        val values = GatewaySettings.read(settings).fold(
+        val values = read().fold(
             ifLeft = { faults ->
                 faults.forEach { echo(it.toString(), err = true) }
                 throw ProgramResult(1)
@@ -79,7 +89,7 @@
         val process = GatewayProcess(values, System::currentTimeMillis)
         val stopped = CountDownLatch(1)
         // Without these handlers, the JVM would exit at once on either signal.
-        Signal.handle(Signal("HUP")) { process.reload(settings) }
+        Signal.handle(Signal("HUP")) { process.reload(::read) }
         Signal.handle(Signal("TERM")) { stopped.countDown() }
         process.start()
         stopped.await()
@@ -87,6 +97,14 @@
         LogConfigurator.flush()
         Runtime.getRuntime().halt(0)
     }
+
+    private fun read() = GatewaySettings.read(settings).map {
+        it.copy(bounds = it.bounds.withChangeBounds(drainMillis?.toLongOrNull(), configMillis?.toLongOrNull()))
+    }
+
+    /** Accepts an empty value, too: the platform leaves a variable empty whose field it doesn't have. */
+    private fun OptionTransformContext.requireMillis(value: String) =
+        require(value.isEmpty() || (value.toLongOrNull() ?: 0) > 0) { "$value is no number of milliseconds above 0" }
 }
 
 /** Loads the classes that serving requests needs, for a class-data archive that the JVM writes at exit. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/settings/GatewaySettings.kt
@@ -56,9 +56,23 @@
     val retrySlack: Double,
     val retryWindowMillis: Long,
     val capTolerance: CapTolerance,
-    /** Time within which a change in the store has to be in force on each instance that is in touch with it. */
-    val changeMillis: Long,
-)
+    /** Time after a server's departure in which requests may still reach it. */
+    val drainMillis: Long = DEFAULT_CHANGE_MILLIS,
+    /** Time within which a configuration has to be in force. */
+    val configMillis: Long = DEFAULT_CHANGE_MILLIS,
+) {
+    /** Time within which any change in the store has to be in force. */
+    val changeMillis: Long get() = minOf(drainMillis, configMillis)
+
+    /** These bounds with the given ones in place of their own. */
+    public fun withChangeBounds(drainMillis: Long?, configMillis: Long?): GatewayBounds =
+        copy(drainMillis = drainMillis ?: this.drainMillis, configMillis = configMillis ?: this.configMillis)
+
+    public companion object {
+        /** Used where neither the settings nor the command line names a bound. */
+        public const val DEFAULT_CHANGE_MILLIS: Long = 2_000
+    }
+}
 
 private class GatewaySettingsReader(private val file: String, private val ini: IniFile) {
     private val faults = mutableListOf<SettingFault>()
@@ -113,7 +127,8 @@
             overRatio = bound("cap-over", 0.0),
             slack = bound("cap-slack", 0.0),
         ),
-        changeMillis = minOf(bound("drain-millis", 2_000.0), bound("config-millis", 2_000.0)).toLong(),
+        drainMillis = bound("drain-millis", GatewayBounds.DEFAULT_CHANGE_MILLIS.toDouble()).toLong(),
+        configMillis = bound("config-millis", GatewayBounds.DEFAULT_CHANGE_MILLIS.toDouble()).toLong(),
     )
 
     /** Reads a key of the section `bounds`, whose value may have a fraction. */
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/caller/CallerServerFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/caller/CallerServerFixture.kt
@@ -47,7 +47,7 @@
         storeAddress = "127.0.0.1:1",
         cloudAddress = null,
         isFirstStart = false,
-        bounds = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0), 2_000),
+        bounds = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0)),
     )
 
     private fun freeAddress() = SocketAddress(LOOPBACK.hostAddress, ServerSocket(0, 1, LOOPBACK).use { it.localPort })
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/RequestFlowFixture.kt
@@ -201,7 +201,7 @@
     }
 
     companion object {
-        val BOUNDS = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0), 2_000)
+        val BOUNDS = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0))
 
         private const val CONFIG = """{"version":5,"routes":[
             {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":600,"target_latency_ms":120,
--- a/entry/src/test/kotlin/org/berylpoint/entry/settings/GatewaySettingsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/settings/GatewaySettingsTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
+import org.berylpoint.policy.quota.CapTolerance
 import java.io.File
 import kotlin.io.path.createTempFile
 
@@ -45,6 +46,14 @@
             )
         }
 
+        // Guards against a view that counts as old by another deployment's bounds: these come by the command line.
+        test("the shorter of two bounds holds for all changes, and the command line goes before the file") {
+            val bounds = GatewayBounds(3_000, 5_000, 10_000, 0.2, 50.0, 10_000, CapTolerance(8_000, 0.0, 0.0))
+            bounds.changeMillis shouldBe GatewayBounds.DEFAULT_CHANGE_MILLIS
+            bounds.withChangeBounds(drainMillis = 4_000, configMillis = 3_000).changeMillis shouldBe 3_000
+            bounds.copy(drainMillis = 1_500).withChangeBounds(null, 3_000).changeMillis shouldBe 1_500
+        }
+
         test("bounds may be fractions") {
             val base = """
             [instance]
