--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerLimits.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/ServerLimits.kt
@@ -61,20 +61,20 @@
 
     private fun hear(process: ServerProcess, perSecond: Double?, atMillis: Long, isOwn: Boolean) {
         val known = processes[process]
-        if (known?.perSecond != perSecond) {
-            log.event(
-                "server",
-                "a server names a limit",
-                "server" to process.id,
-                "perSecond" to perSecond,
-                "own" to isOwn,
-            )
-        }
+        if (known?.perSecond != perSecond) logChange(process, perSecond, isOwn)
         val limiter = known?.limiter ?: SharedRateLimiter(WINDOW_MILLIS, MIN_PER_SENDER)
         val others = if (processes.size < MAX_PROCESSES) processes else processes.remove(oldest())
         processes = others.put(process, Heard(perSecond, atMillis, isOwn, limiter))
     }
 
+    private fun logChange(process: ServerProcess, perSecond: Double?, isOwn: Boolean) = log.event(
+        "server",
+        if (perSecond == null) "a server names no limit any more" else "a server names a limit",
+        "server" to process.id,
+        "perSecond" to perSecond,
+        "own" to isOwn,
+    )
+
     private fun oldest() = processes.minBy { it.value.atMillis }.key
 
     /** Milliseconds until this instance may send a request to [server] by its limit; 0 if it may now. */
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -68,7 +68,7 @@
     private val settings by option(help = "settings file").file(mustExist = true, canBeDir = false).required()
     private val drainMillis by option(
         envvar = "BERYLPOINT_DRAIN_MILLIS",
-        help = "Time in which a departed server must get no more requests; goes before the settings file.",
+        help = "Time after a server's departure in which requests may still reach it; goes before the settings file.",
     ).validate { requireMillis(it) }
     private val configMillis by option(
         envvar = "BERYLPOINT_CONFIG_MILLIS",
