--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/server/HttpServerExchange.kt
@@ -84,7 +84,7 @@
         return seconds?.takeIf { it > 0 && it <= MAX_RETRY_AFTER_SECONDS }?.let { (it * MILLIS_PER_SECOND).toLong() }
     }
 
-    /** The number in `Server-Limit`; what is no such number is ignored. */
+    /** The limit that the response names; what is no such number is ignored. */
     private fun requestsPerSecond(head: ResponseHead): Double? =
         head.values(RequestHeaders.SERVER_LIMIT).firstNotNullOfOrNull { it.trim().toDoubleOrNull() }
             ?.takeIf { it >= 0 && it.isFinite() }
