review: case 7 also asks each instance for bookings when the long requests have ended

Seen with the stand-ins of review/build-2.sh (a copy of the class that also takes a thread dump of a hung instance): five runs of five broke CONFIG, with 155, 141, 221, 151 and 271 bookings without an answer 0.5 s after their timeout, of 201, 206, 259, 199 and 310 without one at it. In the third and the fifth one of the two instances, alive and ready, answered none of ten bookings 5 s after the last long request; the thread dumps lack the callers' acceptor. With TROUBLE=0 review/7/run.sh held once. Three runs of the form before, ended by hand, broke CONFIG as well.

--- a/review/standin-2/LargeBodies.java
+++ b/review/standin-2/LargeBodies.java
@@ -16,7 +16,9 @@
     private static final int CLIENTS = 98;
     private static final int BOOK_TIMEOUT_MILLIS = 1_200;
     private static final int BOOK_BUDGET_MILLIS = 2_500;
-    private static final int LOAD_MILLIS = 40_000;
+    private static final int LOAD_MILLIS = 35_000;
+    private static final int CALM_MILLIS = 5_000;
+    private static final int CALM_BOOKINGS = 10;
     private final Map<String, Integer> streams = new TreeMap<>();
     private final Map<String, Integer> bookings = new TreeMap<>();
     private final AtomicInteger late = new AtomicInteger();
@@ -64,22 +66,32 @@
         clients.awaitTermination(25, TimeUnit.SECONDS);
         note("long requests: " + streams);
         note("bookings: " + bookings);
+        Thread.sleep(CALM_MILLIS);
+        int hung = 0;
         for (Entry entry : entries) {
-            note(entry.name + ", when no client has asked for a while: process " + (entry.process.isAlive() ? "alive" : "ended")
-                + ", " + (entry.isReady() ? "ready" : "not ready") + ", a booking: " + bookingAt(entry));
+            int answered = 0;
+            for (int i = 0; i < CALM_BOOKINGS; i++) if (isBookedInCalm(entry, i)) answered++;
+            if (CALM_BOOKINGS - answered >= 8) hung++;
+            note(entry.name + ", " + CALM_MILLIS + " ms after the last long request: process "
+                + (entry.process.isAlive() ? "alive" : "ended") + ", " + (entry.isReady() ? "ready" : "not ready") + ", "
+                + answered + " of " + CALM_BOOKINGS + " bookings answered in time");
         }
+        note("instances that answer no more, in calm: " + hung);
         note("lines with OutOfMemoryError in the logs of the instances: " + logged("OutOfMemoryError"));
         note("long requests that a sound worker wrote whole, and whose channel the instance closed: " + cut);
         note("bookings without an answer at their route's timeout of " + BOOK_TIMEOUT_MILLIS + " ms: " + late
             + ", of these still without one 0.5 s later: " + unanswered + " (eight, or a quarter, are allowed)");
-        return unanswered.get() < 8 || unanswered.get() * 4 <= late.get();
+        return hung == 0 && (unanswered.get() < 8 || unanswered.get() * 4 <= late.get());
     }
 
-    private static String bookingAt(Entry entry) {
+    private boolean isBookedInCalm(Entry entry, int i) {
         try (Client client = new Client(entry.front)) {
-            return client.plain("POST", "/book/x", "last-" + entry.name, BOOK_BUDGET_MILLIS, Client.body(entry.name, 600));
+            String id = "calm-" + entry.name + "-" + i;
+            String end = client.plain("POST", "/book/x", id, BOOK_TIMEOUT_MILLIS + 500, Client.body(id, 600));
+            detail(id + ": " + end);
+            return end.matches("[0-9]+");
         } catch (java.io.IOException e) {
-            return "no channel";
+            return false;
         }
     }
 
