Show which rows of a restored store an instance does not go by

A row of the restored store that counts as older than what is known was kept aside without a word, so a log could not tell an instance that has not received a configuration from one that has and ignores it. Now there is a line for each such row, once, with its revision, the known one and the lowest of the era, and a gauge that counts them. No logic is changed.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayGauges.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayGauges.kt
@@ -56,6 +56,9 @@
         metrics.gauge("berylpoint_store_era", "Newest era of the store known; grows with each restore.") {
             eras.current.toDouble()
         }
+        metrics.gauge("berylpoint_store_rows_held_back", "Rows of a restored store that are not in force here.") {
+            site.heldBackRows.toDouble()
+        }
         metrics.gauge("berylpoint_limited_servers", "Servers that name a limit of requests in their responses.") {
             limits.size.toDouble()
         }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/OperatorRows.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/OperatorRows.kt
@@ -31,6 +31,9 @@
     /** The row of the configuration in force. */
     private var configRow: StoreRow? = null
 
+    /** Number of rows that are held back. */
+    val heldBackCount: Int get() = heldBack.size
+
     /** Era of the last complete read. */
     private var readEra = 0L
 
@@ -57,10 +60,22 @@
             known == null || row.revision.era <= known.revision.era -> Unit
             // The same write, as the restored store has it.
             order == 0 -> restamp(row)
-            else -> heldBack[row.key] = row
+            else -> holdBack(row, known)
         }
     }
 
+    private fun holdBack(row: StoreRow, known: StoreRow) {
+        if (heldBack.put(row.key, row)?.revision == row.revision) return
+        log.event(
+            "site",
+            "a row of the restored store is held back",
+            "key" to row.key,
+            "revision" to row.revision,
+            "known" to known.revision,
+            "lowest" to eras.lowest,
+        )
+    }
+
     private fun restamp(row: StoreRow) {
         applied[row.key] = row
         heldBack.remove(row.key)
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/ServerRows.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/ServerRows.kt
@@ -35,6 +35,9 @@
     /** Rows of a restored store that are older than what is known of their servers. */
     private val heldBack = HashMap<BackendServerId, StoreRow>()
 
+    /** Number of rows that are held back. */
+    val heldBackCount: Int get() = heldBack.size
+
     private var lastStoreFailureAtMillis = Long.MIN_VALUE / 2
 
     /** Era of the last complete read. */
@@ -94,7 +97,16 @@
     }
 
     private fun holdBack(id: BackendServerId, row: StoreRow, known: StoreRevision) {
-        if (row.revision.era > known.era && !row.isDeleted) heldBack[id] = row
+        if (row.revision.era <= known.era || row.isDeleted) return
+        if (heldBack.put(id, row)?.revision == row.revision) return
+        log.event(
+            "site",
+            "a server's row of the restored store is held back",
+            "server" to id.value,
+            "revision" to row.revision,
+            "known" to known,
+            "lowest" to eras.lowest,
+        )
     }
 
     private fun restamp(id: BackendServerId, current: ObservedServer, row: StoreRow) {
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/SiteState.kt
@@ -99,6 +99,10 @@
         servers.settle()
     }
 
+    /** Rows of a restored store that are not in force since what was known before is taken for newer. */
+    public val heldBackRows: Int
+        @Synchronized get() = operators.heldBackCount + servers.heldBackCount
+
     /** Rows from before a restore that are in force although the store lacks them or shows older ones, by table. */
     @Synchronized
     public fun retainedRows(): Map<String, List<StoreRow>> = if (eras.current == 0L) {
