A test of a configuration that is written before a restored store is reached

All four instances stay with 7 for good: 8 has a lower number than the lost 7 and than the first answer seen, so it is taken for a row of the copy.

--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreRestoreTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreRestoreTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.berylpoint.entry.KnownRed
 import org.berylpoint.model.FailureDomain
 import org.berylpoint.model.serving.ServiceName
 import kotlin.time.Duration.Companion.milliseconds
@@ -96,6 +97,25 @@
             }
         }
 
+        // Guards against added routes that are refused and withdrawn keys that are taken (CONFIG): the operators write a
+        // newer configuration before any instance has reached the restored store, so its number may be one of the copy.
+        test("a configuration that is written before the first answer of the restored store is in force").config(
+            tags = setOf(KnownRed),
+        ) {
+            runTest {
+                val site = RestoredSite(this)
+                site.run(
+                    written = { put("op", "config", FollowingInstances.config(7)) },
+                    rewritten = {
+                        put("op", "config", FollowingInstances.config(8))
+                        put("servers", "s1", FollowingInstances.server())
+                    },
+                )
+                delay(CONVERGENCE_TIME)
+                site.instances.all.map { it.configVersion } shouldContainOnly listOf(8)
+            }
+        }
+
         // Guards against requests in a domain that was taken out of service (EVAC), or none in one that is back.
         test("orders that the copy lacks or shows again wait for the operators to write theirs") {
             runTest {
