Order the entries of one server by its own counts over a restore of the store

A server that began to drain, or was started again, right after the restore went on being used as it was before (DRAIN), until it wrote once more.

Cause: its entry has a lower number than the first answer that any instance saw in the new era, and than its lost entry from before, so it counted as one of the copy, was held back, and is not settled later.

Change: between rows of two eras a later start time makes an entry the newer one, and of one process the count that it writes into each entry. Without them the numbers decide, as before.

Evidence: 'a server that begins to drain before the first answer' failed with 4 users of the server where none is expected, and passes; StoreRestoreTest (21 tests) and SiteStateTest pass. The case of a server that is started again was written after the change and not run without it.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/ServerRows.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/ServerRows.kt
@@ -72,7 +72,7 @@
         val entry = if (row.isDeleted) null else ServerDecoder.server(row.key, row.value)
         val departure = departures[id]
         if (departure != null && isBeforeDeparture(row, departure, entry)) return holdBack(id, row, departure.revision)
-        val order = current?.let { eras.compare(row.revision, it.revision) } ?: 1
+        val order = current?.let { compare(row, entry, it) } ?: 1
         when {
             current != null && order < 0 -> holdBack(id, row, current.revision)
             // The same write, as the store has it before or after a restore: its age does not change.
@@ -87,6 +87,22 @@
         }
     }
 
+    /**
+     * Compares [row] with what is known of its server: positive if it is newer. Over a restore its start times
+     * and its own count of its entries order these, whatever numbers the rows were given.
+     */
+    private fun compare(row: StoreRow, entry: RegisteredServer?, current: ObservedServer): Int {
+        val byRevision = eras.compare(row.revision, current.revision)
+        val known = applied[current.entry.id] ?: return byRevision
+        if (entry == null || row.revision.era == current.revision.era) return byRevision
+        val startedAt = current.entry.startedAtMillis
+        if (entry.startedAtMillis != startedAt) return if (entry.startedAtMillis > startedAt) 1 else byRevision
+        val count = ServerDecoder.entryCount(row.value) ?: return byRevision
+        val byCount = count.compareTo(ServerDecoder.entryCount(known.value) ?: return byRevision)
+        if (byCount != 0) return byCount
+        return if (row.value.contentEquals(known.value)) 0 else byRevision
+    }
+
     /** Whether [row] shows a server as it was before its [departure]. */
     private fun isBeforeDeparture(row: StoreRow, departure: Departure, entry: RegisteredServer?): Boolean = when {
         row.revision.era == departure.revision.era -> row.revision.number < departure.revision.number
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/FollowingInstances.kt
@@ -125,9 +125,10 @@
         private const val CHANGE_MILLIS = 2_000L
         private val REPORT_INTERVAL = 100.milliseconds
 
-        fun server(state: String = "ready", startedAt: Long = 1) =
+        /** A server's entry, the one of number [sequence] that it writes if that is given. */
+        fun server(state: String = "ready", startedAt: Long = 1, sequence: Long? = null) =
             """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v","slots":2,"state":"$state",
-                "cold_remaining_ms":0,"born":$startedAt}""".encodeToByteArray()
+                "cold_remaining_ms":0,"born":$startedAt,"sequence":$sequence}""".encodeToByteArray()
 
         /** A configuration with one API key. */
         fun config(version: Long, key: String = "key-$version") =
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreRestoreTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/StoreRestoreTest.kt
@@ -113,6 +113,55 @@
             }
         }
 
+        // Guards against requests to a server that leaves (DRAIN): it says so before any instance has reached the
+        // restored store, and its entry before was lost, so the number of the one that says so may be one of the copy.
+        test("a server that begins to drain before the first answer of the restored store gets nothing") {
+            runTest {
+                val site = RestoredSite(this)
+                site.run(
+                    written = { put("servers", "s1", FollowingInstances.server(sequence = 7)) },
+                    rewritten = {
+                        put("servers", "s1", FollowingInstances.server(state = "draining", sequence = 8))
+                        put("servers", "s2", FollowingInstances.server())
+                    },
+                )
+                delay(CONVERGENCE_TIME)
+                site.usersOf("s1", "s2") shouldBe listOf(0, 4)
+            }
+        }
+
+        // Guards against the same for a server that was started again, and whose process before was the last one known.
+        test("a server that is started again before the first answer of the restored store is known as it is") {
+            runTest {
+                val site = RestoredSite(this)
+                site.run(
+                    written = { put("servers", "s1", FollowingInstances.server(startedAt = 2, sequence = 7)) },
+                    rewritten = {
+                        put("servers", "s1", FollowingInstances.server("draining", startedAt = 3, sequence = 1))
+                        put("servers", "s2", FollowingInstances.server())
+                    },
+                )
+                delay(CONVERGENCE_TIME)
+                site.usersOf("s1", "s2") shouldBe listOf(0, 4)
+            }
+        }
+
+        // Guards against a server that is used again although it drains (DRAIN), by an entry that it wrote before.
+        test("an entry of the copy that its server wrote before the one known is held back") {
+            runTest {
+                val site = RestoredSite(this)
+                site.tables.put("servers", "s1", FollowingInstances.server(sequence = 6))
+                site.run(
+                    written = { put("servers", "s1", FollowingInstances.server(state = "draining", sequence = 7)) },
+                    rewritten = { put("servers", "s2", FollowingInstances.server()) },
+                )
+                repeat(40) {
+                    site.usersOf("s1") shouldBe listOf(0)
+                    delay(100.milliseconds)
+                }
+            }
+        }
+
         // Guards against requests in a domain that was taken out of service (EVAC), or none in one that is back.
         test("orders that the copy lacks or shows again wait for the operators to write theirs") {
             runTest {
