Put an order in force that follows one that had ended before a restore

An order that is written before the first answer has a number that may be one of the copy; where the last thing known is the deletion of an earlier order with a higher number, it was held back, and what is held back behind a deletion was never settled.

Change: an instance keeps the number of the row that a deletion ended. When the time for writing again is over, the deletion stands against that row only, as the copy may show it; another row is applied. Peers no longer tell of a deletion that does not stand, and one that was given up here is not taken back. A process that started after the restore keeps what it read until then.

Not solved: an order that is given the very number of the one that had ended is the same to an instance as that row in the copy.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/OperatorRows.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/site/OperatorRows.kt
@@ -28,6 +28,12 @@
     /** Rows of a restored store that are older than those applied. */
     private val heldBack = HashMap<String, StoreRow>()
 
+    /** Numbers of the rows that the deletions in [applied] ended, by key, where they are known. */
+    private val endedNumbers = HashMap<String, Long>()
+
+    /** Rows of the store that have ended such a deletion, by key. */
+    private val settled = HashMap<String, StoreRevision>()
+
     /** The row of the configuration in force. */
     private var configRow: StoreRow? = null
 
@@ -48,6 +54,7 @@
     }
 
     private fun remove(key: String, revision: StoreRevision) {
+        noteEnd(key, applied[key])
         applied[key] = StoreRow(StoreNames.OPERATORS, key, ByteArray(0), revision, isDeleted = true)
         removeOrder(key)
     }
@@ -98,7 +105,15 @@
     private fun applyNewer(row: StoreRow, known: StoreRow?) {
         applied[row.key] = row
         heldBack.remove(row.key)
-        if (row.isDeleted) return removeOrder(row.key)
+        if (row.isDeleted) {
+            // A process that started after the restore has read what a peer knows to be deleted.
+            if (known != null && known.revision.era > row.revision.era) {
+                if (eras.isRecovering) heldBack[row.key] = known
+            } else {
+                noteEnd(row.key, known)
+            }
+            return removeOrder(row.key)
+        }
         val domain = StoreNames.takenOutDomain(row.key)
         when {
             row.key == StoreNames.CONFIG_KEY -> applyConfig(row)
@@ -107,6 +122,13 @@
         }
     }
 
+    /** Whether [row] is the one that the deletion known ended, as the copy may show it; any other was written since. */
+    private fun isEnded(row: StoreRow) = row.revision.number == endedNumbers[row.key]
+
+    private fun noteEnd(key: String, ended: StoreRow?) {
+        if (ended != null && !ended.isDeleted) endedNumbers[key] = ended.revision.number
+    }
+
     private fun takeOut(domain: FailureDomain, row: StoreRow) {
         setView(view().copy(outOfServiceDomains = (view().outOfServiceDomains + domain).toPersistentSet()))
         log.event("site", "a failure domain is out of service", "domain" to domain.name, "revision" to row.revision)
@@ -170,6 +192,10 @@
     fun settle() {
         heldBack.values.toList().forEach(::apply)
         if (readEra != eras.current || eras.isRecovering) return
+        for (row in heldBack.values.filter { applied[it.key]?.isDeleted == true && !isEnded(it) }) {
+            if (row.key in endedNumbers) settled[row.key] = row.revision
+            applyNewer(row, applied[row.key])
+        }
         val orders = applied.values.filter {
             it.revision.era < eras.current && !it.isDeleted && it.key != StoreNames.CONFIG_KEY
         }
@@ -180,18 +206,24 @@
         }
     }
 
+    /** Whether the deletion of [key] stands against a row of the store. */
+    private fun isStanding(key: String) = heldBack[key]?.let { eras.isRecovering || isEnded(it) } ?: false
+
     /**
      * Whether [row], of an older era, counts if a peer still goes by it. An order that was not written again in time is
      * given up by all, each at a moment of its own, so it must not come back from one that is later.
      */
-    fun takesRetained(row: StoreRow): Boolean = eras.isRecovering || row.isDeleted || row.key == StoreNames.CONFIG_KEY
+    fun takesRetained(row: StoreRow): Boolean =
+        eras.isRecovering || row.key == StoreNames.CONFIG_KEY || (row.isDeleted && !isSettled(row.key))
+
+    private fun isSettled(key: String) = settled[key]?.let { it == applied[key]?.revision } ?: false
 
     /** Rows of an older era that the store lacks or shows in an older state. */
     fun retained(): List<StoreRow> {
         // Before the table was read in the new era, nothing is known of what it lacks.
         if (readEra != eras.current) return emptyList()
         val orders = applied.values.filter {
-            it.key != StoreNames.CONFIG_KEY && it.revision.era < eras.current && (!it.isDeleted || it.key in heldBack)
+            it.key != StoreNames.CONFIG_KEY && it.revision.era < eras.current && (!it.isDeleted || isStanding(it.key))
         }
         return orders + listOfNotNull(configRow?.takeIf { it.revision.era < eras.current })
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/RetainedRowsTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/site/RetainedRowsTest.kt
@@ -52,4 +52,31 @@
                 }
             }
         }
+
+        // Guards against requests in a domain that is out of service (EVAC): it was so before, and its return is the last
+        // thing known; the new order is written before any instance has reached the restored store, so it may be of the
+        // copy. The order of the copy itself does not count.
+        test("an order that is written before the first answer is in force although an earlier one had ended") {
+            runTest {
+                val site = RestoredSite(this)
+                site.tables.put("op", "evacuate/back", "{}".encodeToByteArray())
+                site.run(
+                    written = {
+                        put("op", "evacuate/again", "{}".encodeToByteArray())
+                        delete("op", "evacuate/again")
+                        delete("op", "evacuate/back")
+                    },
+                    rewritten = {
+                        put("op", "evacuate/again", "{}".encodeToByteArray())
+                        put("servers", "s1", FollowingInstances.server())
+                    },
+                )
+                val started = site.instances.start("a9", "a")
+                delay(3.seconds)
+                site.outOfService() shouldContainOnly listOf(setOf("again"))
+                started.state.view.canServe shouldBe true
+                delay(3.seconds)
+                site.outOfService() shouldContainOnly listOf(setOf("again"))
+            }
+        }
     })
