Compare a version's error responses apart from lost responses

What callers saw: while part of the requests to both versions of a service get no response (crashing servers, resets, no processor time), a new version that responds with errors is completed, or runs on.

Cause: all bad outcomes counted alike, so losses on both sides hid the errors of a canary's few requests; and in a handover the old version's newest rate was that of no outcomes, 0.5. Ruled out as the only cause: too little evidence at the end; versions that fail in 1 of 10 beside a noisy old one remain.

Change: reports tell the error responses (VersionPart.errors), which are compared among the complete responses; the old version's newest rate is drawn towards that of the order; a large difference must also be unlikely by chance.

Old and new builds: the field is skipped by the build before and absent in its reports, whose bad outcomes then count as before (RolloutPartTest reads both ways).

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutEvidence.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutEvidence.kt
@@ -21,5 +21,6 @@
         VersionCounts(parts.sumOf { it.good }, parts.sumOf { it.bad }),
         TimingCounts(parts.sumOf { it.timed }, parts.sumOf { it.slow }),
         routes.mapValues { (_, ofRoute) -> VersionCounts(ofRoute.sumOf { it.good }, ofRoute.sumOf { it.bad }) },
+        parts.sumOf { it.errors },
     )
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/RequestAttempts.kt
@@ -182,10 +182,16 @@
             request.service.name,
             reservation.server.entry.version,
             request.route.name,
-            end is AttemptEnd.Complete,
+            outcomeOf(end),
         )
     }
 
+    private fun outcomeOf(end: AttemptEnd) = when (end) {
+        is AttemptEnd.Complete -> AttemptOutcome.GOOD
+        is AttemptEnd.Error -> AttemptOutcome.ERROR_RESPONSE
+        else -> AttemptOutcome.NO_RESPONSE
+    }
+
     private fun recordFailure(reservation: ServerReservation, end: AttemptEnd) {
         lastFailure = end.toString()
         flow.log.request(
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/VersionOutcomes.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/flow/VersionOutcomes.kt
@@ -12,7 +12,13 @@
  * time is compared with those of the same route, since routes differ by what they ask.
  */
 public class VersionOutcomes {
-    private class Sums(var good: Long = 0, var bad: Long = 0, var timed: Long = 0, var slow: Long = 0)
+    private class Sums(
+        var good: Long = 0,
+        var bad: Long = 0,
+        var errors: Long = 0,
+        var timed: Long = 0,
+        var slow: Long = 0,
+    )
 
     private class RouteSums(var good: Long = 0, var bad: Long = 0)
 
@@ -26,11 +32,13 @@
     private val routeSums = LinkedHashMap<RouteKey, RouteSums>()
     private val times = LinkedHashMap<Kind, ResponseTimes>()
 
-    /** Counts the outcome of an attempt at a server of [version] for a request of [route]. */
+    /** Counts the [outcome] of an attempt at a server of [version] for a request of [route]. */
     @Synchronized
-    public fun countOutcome(service: ServiceName, version: VersionName, route: String, isGood: Boolean) {
+    public fun countOutcome(service: ServiceName, version: VersionName, route: String, outcome: AttemptOutcome) {
+        val isGood = outcome == AttemptOutcome.GOOD
         val sum = sumsOf(service, version)
         if (isGood) sum.good++ else sum.bad++
+        if (outcome == AttemptOutcome.ERROR_RESPONSE) sum.errors++
         val ofRoute = routeSums.getOrPut(RouteKey(service, version, route)) { RouteSums() }
         if (isGood) ofRoute.good++ else ofRoute.bad++
         if (routeSums.size > MAX_KINDS) routeSums.remove(routeSums.keys.first())
@@ -50,7 +58,7 @@
     @Synchronized
     public fun addTo(report: NodeReport): NodeReport = report.copy(
         outcomes = sums.map { (key, sum) ->
-            VersionPart(key.first.value, key.second.value, sum.good, sum.bad, sum.timed, sum.slow)
+            VersionPart(key.first.value, key.second.value, sum.good, sum.bad, sum.timed, sum.slow, sum.errors)
         },
         routeOutcomes = routeOutcomes(),
     )
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/duty/RolloutExposureTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/duty/RolloutExposureTest.kt
@@ -57,6 +57,28 @@
             }
         }
 
+        for (seed in 1..40) {
+            // Guards against a bad version that hides behind failures of both versions, and is completed or kept for
+            // ever (EXPOSURE): lost responses counted like error responses.
+            test("a bad version is taken back while responses of both versions are lost (seed $seed)") {
+                val random = Random(seed)
+                val load = randomLoad(random).copy(duration = listOf(12, 30, 60).random(random) * 1_000L)
+                val lost = listOf(0.1, 0.3, 0.5).random(random)
+                val badFrom = load.orderedAt + (random.nextDouble() * (load.duration - 3_000)).toLong()
+                val badShare = 0.3 + 0.7 * random.nextDouble()
+                RolloutInstances(load.instances, seed, load.requestsPerSecond).use { site ->
+                    site.isLost = { random.nextDouble() < lost }
+                    site.isBad = { it >= badFrom && random.nextDouble() < badShare }
+                    site.play(load) {}
+                    site.pass(20.seconds)
+                    withClue("$load, bad from $badFrom, $badShare of the responses, $lost lost") {
+                        site.shouldKeepBounds(load)
+                        site.status?.state shouldBe RolloutState.ROLLED_BACK
+                    }
+                }
+            }
+        }
+
         test("of versions that fail in 1 of 100 requests, as the old one does, 19 of 20 are completed in time") {
             val inTime = (1..60).count { seed ->
                 val random = Random(seed)
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/duty/RolloutInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/duty/RolloutInstances.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.entry.gateway.Clocks
 import org.berylpoint.entry.gateway.DecisionLog
+import org.berylpoint.entry.gateway.flow.AttemptOutcome
 import org.berylpoint.entry.gateway.flow.VersionOutcomes
 import org.berylpoint.entry.gateway.peers.PeerView
 import org.berylpoint.entry.gateway.site.SiteState
@@ -40,6 +41,9 @@
     private val http = PlatformHttp()
     private val orders = ArrayList<StoreRow>()
     private var requests = 0.0
+
+    /** Time between two reports of an instance, as many as there are. */
+    private val reportMillis = PeerView.reportIntervalMillis(count - 1) / STEP_MILLIS * STEP_MILLIS
     val platform = FakePlatform(era)
 
     /** Whether a response of the new version that ends at a time is bad. */
@@ -51,6 +55,9 @@
     /** The same as [isBad] of the old version. */
     var isOldBad: (millis: Long) -> Boolean = { false }
 
+    /** Whether the response to a request that ends at a time is lost, whatever version has served it. */
+    var isLost: (millis: Long) -> Boolean = { false }
+
     /** Name of the instance that holds the duties; null for none. */
     var holder: String? = "i0"
 
@@ -95,11 +102,11 @@
         )
         private var sequence = 0L
         private val actPhase = random.nextLong(ACT_MILLIS / STEP_MILLIS) * STEP_MILLIS
-        private val reportPhase = random.nextLong(REPORT_MILLIS / STEP_MILLIS) * STEP_MILLIS
+        private val reportPhase = random.nextLong(reportMillis / STEP_MILLIS) * STEP_MILLIS
 
         /** Whether it is time for what the instance does at intervals, each at moments of its own. */
         val isActing: Boolean get() = (nowMillis + actPhase) % ACT_MILLIS == 0L
-        val isReporting: Boolean get() = (nowMillis + reportPhase) % REPORT_MILLIS == 0L
+        val isReporting: Boolean get() = (nowMillis + reportPhase) % reportMillis == 0L
         private val running = ArrayDeque<Pair<Long, VersionName>>()
 
         /** Whether the instance neither hears others nor is heard. */
@@ -135,7 +142,12 @@
             val isNew = request.second == NEW
             val isBad = if (isNew) isBadAt(this) && isBad(nowMillis) else isOldBad(nowMillis)
             if (isNew && isBad) badAt += nowMillis
-            outcomes.countOutcome(ServiceName(SERVICE), request.second, "r", !isBad)
+            val outcome = when {
+                isLost(nowMillis) -> AttemptOutcome.NO_RESPONSE
+                isBad -> AttemptOutcome.ERROR_RESPONSE
+                else -> AttemptOutcome.GOOD
+            }
+            outcomes.countOutcome(ServiceName(SERVICE), request.second, "r", outcome)
         }
 
         /** Requests that are at servers of the old version now. */
@@ -246,7 +258,6 @@
         val NEW = VersionName("v2")
         private const val STEP_MILLIS = 10L
         private const val ACT_MILLIS = 100L
-        private const val REPORT_MILLIS = 250L
         private const val RESPONSE_MILLIS = 50L
     }
 }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/VersionOutcomesTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/flow/VersionOutcomesTest.kt
@@ -15,9 +15,14 @@
         test("reports show the outcomes of both versions on a route that fails, however many routes there are") {
             val outcomes = VersionOutcomes()
             for (route in 1..100) {
-                for (version in listOf(OLD, NEW)) outcomes.countOutcome(SERVICE, version, "r$route", isGood = true)
+                for (version in listOf(
+                    OLD,
+                    NEW,
+                )) {
+                    outcomes.countOutcome(SERVICE, version, "r$route", AttemptOutcome.GOOD)
+                }
             }
-            outcomes.countOutcome(SERVICE, NEW, "r70", isGood = false)
+            outcomes.countOutcome(SERVICE, NEW, "r70", AttemptOutcome.ERROR_RESPONSE)
             val parts = outcomes.report().routeOutcomes
             parts shouldContain RoutePart("s", "v1", "r70", 1, 0)
             parts shouldContain RoutePart("s", "v2", "r70", 1, 1)
@@ -27,7 +32,7 @@
         // Guards against reports that grow for nothing: without a second version there is nothing to compare.
         test("reports show no routes of a service with one version") {
             val outcomes = VersionOutcomes()
-            outcomes.countOutcome(SERVICE, OLD, "r", isGood = false)
+            outcomes.countOutcome(SERVICE, OLD, "r", AttemptOutcome.ERROR_RESPONSE)
             outcomes.report().routeOutcomes.shouldBeEmpty()
         }
     })
--- a/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
+++ b/peer/src/main/kotlin/org/berylpoint/peer/NodeReport.kt
@@ -202,6 +202,8 @@
     /** Responses whose time is known, and the slow ones among them. */
     @CborLabel(5) val timed: Long = 0,
     @CborLabel(6) val slow: Long = 0,
+    /** The bad outcomes that were error responses of the servers; 0 also from a process that doesn't count them. */
+    @CborLabel(7) val errors: Long = 0,
 )
 
 /** Outcomes of one version of a service on one route. */
--- a/peer/src/test/kotlin/org/berylpoint/peer/RolloutPartTest.kt
+++ b/peer/src/test/kotlin/org/berylpoint/peer/RolloutPartTest.kt
@@ -14,7 +14,15 @@
         val part =
             RolloutPart("s", 7, 1, 900, 45, true, plan = RolloutPlanPart(50, 4_000, 3_000), barred = listOf("v0"))
         val report =
-            NodeReport("x", "a", 1, 2, 3, outcomes = listOf(VersionPart("s", "v2", 5, 1)), rollouts = listOf(part))
+            NodeReport(
+                "x",
+                "a",
+                1,
+                2,
+                3,
+                outcomes = listOf(VersionPart("s", "v2", 5, 3, errors = 2)),
+                rollouts = listOf(part),
+            )
 
         test("a report keeps what it tells of rollouts, packed or not") {
             NodeReportCodec.decode(NodeReportCodec.encode(report)).rollouts shouldBe listOf(part)
@@ -31,9 +39,9 @@
                 encodeKeyTags = false
             }
             val read = cbor.decodeFromByteArray(ReportBefore.serializer(), NodeReportCodec.encode(report))
-            read shouldBe ReportBefore("x", "a", 1, 2, 3, listOf(VersionPart("s", "v2", 5, 1)))
+            read shouldBe ReportBefore("x", "a", 1, 2, 3, listOf(VersionPartBefore("s", "v2", 5, 3)))
             val sent = NodeReportCodec.decode(cbor.encodeToByteArray(ReportBefore.serializer(), read))
-            sent shouldBe report.copy(rollouts = emptyList())
+            sent shouldBe report.copy(outcomes = listOf(VersionPart("s", "v2", 5, 3)), rollouts = emptyList())
         }
     })
 
@@ -45,5 +53,16 @@
     @CborLabel(3) val startedAtMillis: Long,
     @CborLabel(4) val sequence: Long,
     @CborLabel(5) val wallMillis: Long,
-    @CborLabel(10) val outcomes: List<VersionPart> = emptyList(),
+    @CborLabel(10) val outcomes: List<VersionPartBefore> = emptyList(),
+)
+
+/** The outcomes of a build that doesn't count error responses apart. */
+@Serializable
+private data class VersionPartBefore(
+    @CborLabel(1) val service: String,
+    @CborLabel(2) val version: String,
+    @CborLabel(3) val good: Long,
+    @CborLabel(4) val bad: Long,
+    @CborLabel(5) val timed: Long = 0,
+    @CborLabel(6) val slow: Long = 0,
 )
--- a/policy/src/main/kotlin/org/berylpoint/policy/rollout/VersionComparison.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/rollout/VersionComparison.kt
@@ -19,13 +19,14 @@
  * responses.
  *
  * How clear a difference has to be follows from the old version's own rate and from the number of outcomes. What makes
- * both versions fail, such as an overload, raises the rate of the old one in the same time.
+ * both versions fail, such as an overload, raises the rate of the old one in the same time. Error responses are compared
+ * among the complete responses, too: requests that are lost on the way to both versions would hide them.
  */
 public object VersionComparison {
     /** The verdict on [whole], all evidence of a rollout, and on the newest parts of it, the latest first. */
     public fun verdict(whole: ComparedVersions, recent: List<ComparedVersions>): VersionVerdict = when {
-        isWorse(whole) || recent.any(::isClearlyWorse) -> VersionVerdict.WORSE
-        isSuspect(whole) || recent.any { isDoubtful(it, whole.old.outcomes) } -> VersionVerdict.SUSPECT
+        isWorse(whole) || recent.any { isClearlyWorse(it, whole.old) } -> VersionVerdict.WORSE
+        isSuspect(whole) || recent.any { isDoubtful(it, whole.old) } -> VersionVerdict.SUSPECT
         else -> VersionVerdict.SOUND
     }
 
@@ -34,18 +35,27 @@
         return isWorse(new.outcomes, old.outcomes) ||
             isSlower(new.timings, old.timings, MIN_STANDARD_ERRORS) ||
             new.routes.any { (route, counts) -> isRouteWorse(counts, old.routes[route] ?: NO_OUTCOMES) } ||
-            isUnlikely(new.outcomes, old.outcomes, WORSE_CHANCE, MIN_BAD_OUTCOMES)
+            isUnlikely(new.outcomes, rateOf(old.outcomes), WORSE_CHANCE, MIN_BAD_OUTCOMES) ||
+            isUnlikely(new.responses, rateOf(old.responses), WORSE_CHANCE, MIN_BAD_OUTCOMES)
     }
 
-    private fun isClearlyWorse(recent: ComparedVersions): Boolean {
+    private fun isClearlyWorse(recent: ComparedVersions, oldWhole: VersionEvidence): Boolean {
         val (new, old) = recent
-        return isUnlikely(new.outcomes, old.outcomes, WORSE_CHANCE, MIN_BAD_OUTCOMES) ||
+        return isUnlikely(new.outcomes, rateOf(old.outcomes, oldWhole.outcomes), WORSE_CHANCE, MIN_BAD_OUTCOMES) ||
+            isUnlikely(new.responses, rateOf(old.responses, oldWhole.responses), WORSE_CHANCE, MIN_BAD_OUTCOMES) ||
             isSlower(new.timings, old.timings, MIN_STANDARD_ERRORS_RECENT) ||
             new.routes.any { (route, counts) ->
-                isUnlikely(counts, old.routes[route] ?: NO_OUTCOMES, WORSE_CHANCE, MIN_BAD_OUTCOMES)
+                isUnlikely(counts, rateOf(old.routes[route] ?: NO_OUTCOMES), WORSE_CHANCE, MIN_BAD_OUTCOMES)
             }
     }
 
+    private fun isDoubtful(recent: ComparedVersions, oldWhole: VersionEvidence): Boolean =
+        isDoubtful(recent.new.outcomes, recent.old.outcomes, oldWhole.outcomes) ||
+            isDoubtful(recent.new.responses, recent.old.responses, oldWhole.responses)
+
+    private fun isDoubtful(new: VersionCounts, old: VersionCounts, oldWhole: VersionCounts) =
+        isUnlikely(new, maxOf(rateOf(oldWhole), rateOf(old, oldWhole)), SUSPECT_CHANCE, minBad = 1)
+
     private fun isSuspect(whole: ComparedVersions): Boolean {
         val (new, old) = whole
         return isPossiblySlower(new.timings, old.timings) ||
@@ -53,25 +63,21 @@
     }
 
     /**
-     * Whether at least [minBad] outcomes of [new] are bad and so many would have a probability below [chance] if it
-     * failed as often as [old].
+     * Whether at least [minBad] outcomes of [new] are bad and so many would have a probability below [chance] if each
+     * was bad with the probability [rate].
      */
-    private fun isUnlikely(new: VersionCounts, old: VersionCounts, chance: Double, minBad: Long): Boolean {
+    private fun isUnlikely(new: VersionCounts, rate: Double, chance: Double, minBad: Long): Boolean {
         if (new.bad < minBad) return false
-        val rate = rateOf(old)
         return new.badRate > rate && tail(new.bad, new.total, rate) < chance
     }
 
-    /** Like [isUnlikely], for a rate of the old version that is known better, from [oldWhole]. */
-    private fun isDoubtful(recent: ComparedVersions, oldWhole: VersionCounts): Boolean {
-        val new = recent.new.outcomes
-        val rate = maxOf(rateOf(oldWhole), recent.old.outcomes.badRate)
-        return new.badRate > rate && tail(new.bad, new.total, rate) < SUSPECT_CHANCE
-    }
-
     /** The rule of succession: a rate of zero is not known to be zero. */
     private fun rateOf(counts: VersionCounts) = (counts.bad + 1.0) / (counts.total + 2.0)
 
+    /** The rate of [recent] outcomes, towards that of [whole] the fewer there are: in a handover, there are none. */
+    private fun rateOf(recent: VersionCounts, whole: VersionCounts) =
+        (recent.bad + rateOf(whole) * PRIOR_OUTCOMES) / (recent.total + PRIOR_OUTCOMES)
+
     /** Probability that at least [hits] of [total] happen if each does with the probability [rate]. */
     private fun tail(hits: Long, total: Long, rate: Double): Double {
         var logTerm = 0.0
@@ -88,7 +94,8 @@
     }
 
     private fun isWorse(new: VersionCounts, old: VersionCounts): Boolean =
-        new.bad >= MIN_BAD_OUTCOMES && new.badRate > old.badRate * BAD_RATE_FACTOR + BAD_RATE_MARGIN
+        new.badRate > old.badRate * BAD_RATE_FACTOR + BAD_RATE_MARGIN &&
+            isUnlikely(new, rateOf(old), LARGE_DIFFERENCE_CHANCE, MIN_BAD_OUTCOMES)
 
     /** Like [isWorse] for one route, of which fewer outcomes are known: the difference must be clear besides. */
     private fun isRouteWorse(new: VersionCounts, old: VersionCounts): Boolean {
@@ -120,8 +127,14 @@
     /** Probabilities of a chance result, for evidence that is looked at several times a second. */
     private const val WORSE_CHANCE = 1e-6
     private const val SUSPECT_CHANCE = 0.02
+
+    /** The same for a difference that would hurt many callers. */
+    private const val LARGE_DIFFERENCE_CHANCE = 1e-4
     private const val NEGLIGIBLE = 1e-9
 
+    /** Recent outcomes that weigh as much as the rate before. */
+    private const val PRIOR_OUTCOMES = 20.0
+
     private const val MIN_BAD_OUTCOMES = 5L
     private const val BAD_RATE_FACTOR = 1.5
     private const val BAD_RATE_MARGIN = 0.08
--- a/policy/src/main/kotlin/org/berylpoint/policy/rollout/VersionEvidence.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/rollout/VersionEvidence.kt
@@ -29,12 +29,18 @@
     val outcomes: VersionCounts,
     val timings: TimingCounts = TimingCounts.NONE,
     val routes: Map<String, VersionCounts> = emptyMap(),
+    /** The bad outcomes that were error responses of the servers themselves; the others had no complete response. */
+    val errors: Long = 0,
 ) {
+    /** The outcomes with a complete response, of which errors are the bad ones. */
+    val responses: VersionCounts get() = VersionCounts(outcomes.good, errors)
+
     /** What was seen after [before], which is earlier evidence of the same. */
     public operator fun minus(before: VersionEvidence): VersionEvidence = VersionEvidence(
         outcomes - before.outcomes,
         timings - before.timings,
         routes.mapValues { (route, counts) -> before.routes[route]?.let { counts - it } ?: counts },
+        (errors - before.errors).coerceAtLeast(0),
     )
 
     /**
--- a/policy/src/test/kotlin/org/berylpoint/policy/rollout/RolloutPolicyTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/rollout/RolloutPolicyTest.kt
@@ -106,6 +106,19 @@
             nextStep(whole.new, whole.old, 11_800, 12_000, 700, verdict).share shouldBeLessThanOrEqual 0.1
         }
 
+        // Guards against a version that hides behind failures of both versions (EXPOSURE): it fails in 6 of 10 requests
+        // that are not lost on the way.
+        test("a version that responds with errors is rolled back while 4 of 10 responses of both versions are lost") {
+            val recent = ComparedVersions(evidence(5, 14).copy(errors = 8), evidence(150, 100))
+            val whole = ComparedVersions(evidence(65, 54).copy(errors = 8), evidence(1_500, 1_000))
+            VersionComparison.verdict(whole, listOf(recent)) shouldBe VersionVerdict.WORSE
+        }
+
+        // Guards against sound versions that are taken back for a few lost responses.
+        test("a version that lost 5 of 21 responses while the old one lost 1 of 10 is kept") {
+            nextStep(evidence(16, 5), evidence(450, 50), 5_000, 30_000).state shouldBe RolloutState.RUNNING
+        }
+
         test("a version that hardly served is not completed") {
             val step = nextStep(evidence(2, 0), evidence(10, 0), 11_900, 12_000, handoverMillis = 1_000)
             step.state shouldBe RolloutState.RUNNING
