Take a version back that is in doubt when its time is over

What callers saw: a version in doubt at the end of its order stayed running, without the bounds, which end then, and was completed once the doubt faded.

Cause: RolloutPolicy answered doubt with RUNNING at any time, and each look is a new chance to seem sound.

Change: doubt at the end of the time takes the version back.

Evidence: RolloutPolicyTest, "a version that is in doubt when its time is over is taken back", was RUNNING before.

Old and new builds: no message or row changes; the end is one that both know.

--- a/policy/src/main/kotlin/org/berylpoint/policy/rollout/RolloutPolicy.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/rollout/RolloutPolicy.kt
@@ -28,7 +28,8 @@
  *
  * The version gets a small share until shortly before its time is over, since it may turn bad at any moment. Then it
  * gets all traffic, for as long as the bounds on its requests allow and while it can still be taken back, so that the
- * old servers have little left to do when they are stopped. At last, with time for the write, it is completed.
+ * old servers have little left to do when they are stopped. At last, with time for the write, it is completed. A version
+ * that is in doubt when its time is over is taken back: doubt that comes and goes would let it pass sooner or later.
  */
 public object RolloutPolicy {
     /**
@@ -44,7 +45,10 @@
     ): RolloutStep {
         if (verdict == VersionVerdict.WORSE) return RolloutStep(0.0, RolloutState.ROLLED_BACK)
         val canaryShare = account.canaryShare(schedule.elapsedMillis, schedule.durationMillis)
-        if (verdict == VersionVerdict.SUSPECT) return RolloutStep(canaryShare, RolloutState.RUNNING)
+        if (verdict == VersionVerdict.SUSPECT) {
+            if (schedule.remainingMillis <= 0) return RolloutStep(0.0, RolloutState.ROLLED_BACK)
+            return RolloutStep(canaryShare, RolloutState.RUNNING)
+        }
         if (schedule.handoverMillis == null) {
             val untilHandover = schedule.remainingMillis - longestHandover(schedule, account, requestsPerSecond)
             if (untilHandover > 0) return RolloutStep(canaryShare, RolloutState.RUNNING, untilHandover)
