--- a/policy/src/main/kotlin/org/berylpoint/policy/rollout/RolloutPolicy.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/rollout/RolloutPolicy.kt
@@ -28,8 +28,8 @@
  *
  * The version gets a small share until shortly before its time is over, since it may turn bad at any moment. Then it
  * gets all traffic, for as long as the bounds on its requests allow and while it can still be taken back, so that the
- * old servers have little left to do when they are stopped. At last, with time for the write, it is completed. A version
- * that is in doubt when its time is over is taken back: doubt that comes and goes would let it pass sooner or later.
+ * old servers have little left to do when they are stopped. At last, with time for the write, it is completed. A
+ * version that is in doubt when its time is over is taken back: doubt that comes and goes would let it pass in the end.
  */
 public object RolloutPolicy {
     /**
--- a/policy/src/main/kotlin/org/berylpoint/policy/rollout/VersionComparison.kt
+++ b/policy/src/main/kotlin/org/berylpoint/policy/rollout/VersionComparison.kt
@@ -19,8 +19,8 @@
  * responses.
  *
  * How clear a difference has to be follows from the old version's own rate and from the number of outcomes. What makes
- * both versions fail, such as an overload, raises the rate of the old one in the same time. Error responses are compared
- * among the complete responses, too: requests that are lost on the way to both versions would hide them.
+ * both versions fail, such as an overload, raises the rate of the old one in the same time. Error responses are
+ * compared among the complete responses, too: responses of both versions that are lost would hide them.
  */
 public object VersionComparison {
     /** The verdict on [whole], all evidence of a rollout, and on the newest parts of it, the latest first. */
