End a process that can't bind its addresses, and try them for some seconds

Cause: an address was tried once, and an exception of the main thread leaves a JVM running whose other threads go on; the port for reports was opened in a task whose failure was forgotten. Ruled out: processor time.

Change: BoundAddresses binds all addresses first, tries one that is taken for 5 s, and names it; a start that fails ends the process with code 3, also for `berylpoint run`.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayGauges.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayGauges.kt
@@ -75,7 +75,7 @@
             shedder.acceptedShare
         }
         metrics.gauge("berylpoint_report_bytes", "Bytes of reports sent to other instances since the start.") {
-            (reportExchange.traffic?.bytes ?: 0).toDouble()
+            reportExchange.traffic.bytes.toDouble()
         }
         metrics.gauge("berylpoint_peers_known", "Other instances known, silent ones included.") {
             peers.peerCount.toDouble()
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -46,13 +46,10 @@
 import org.berylpoint.entry.settings.GatewaySettings
 import org.berylpoint.entry.settings.SettingFault
 import org.berylpoint.peer.NodeReport
-import org.berylpoint.peer.ReportSocket
 import org.berylpoint.platform.cloud.CloudClient
 import org.berylpoint.platform.store.PlatformHttp
 import org.berylpoint.platform.store.StoreClient
 import org.berylpoint.policy.overload.LoadShedder
-import java.net.InetSocketAddress
-import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.Executors
 import kotlin.concurrent.thread
 import kotlin.random.Random
@@ -62,15 +59,13 @@
 
 /** An entry instance on the operators' platform: wires its components together, starts and stops them. */
 public class GatewayProcess(private val settings: GatewaySettings, wallClock: () -> Long) {
-    // Bound before everything else, so that callers who connect during the start wait instead of being refused.
-    private val callerChannel = ServerSocketChannel.open().bind(
-        InetSocketAddress(settings.callerAddress.host, settings.callerAddress.port),
-        GatewayHttpServer.ACCEPT_QUEUE,
-    )
+    private val log = DecisionLog()
+
+    // Before everything else, so that callers who connect during the start wait instead of being refused.
+    private val addresses = runBlocking { BoundAddresses.bind(settings, log) }
     private val clocks = Clocks(TimeSource.Monotonic, wallClock)
     private val startedAtMillis = wallClock()
     private val random = Random(startedAtMillis xor settings.instance.hashCode().toLong())
-    private val log = DecisionLog()
     private val registry = PrometheusRegistry()
     private val metrics = GatewayMetrics(registry)
     private val shedder = LoadShedder(random)
@@ -142,7 +137,7 @@
     private val discovery =
         PeerDiscovery(settings.instance, settings.reportAddress.toString(), store, peers, log, eras, random)
     private val reportExchange: PeerReportExchange = PeerReportExchange(
-        { ReportSocket.open(settings.reportAddress.toString()) },
+        addresses.reports,
         peers,
         log,
         ::buildReport,
@@ -151,8 +146,7 @@
     )
     private val front =
         GatewayHttpServer(
-            settings,
-            callerChannel,
+            addresses.http,
             registry,
             GatewayHttpHandlers(flow::serve, ::isReady, {
                 isStopping
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/GatewayHttpServer.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/caller/GatewayHttpServer.kt
@@ -8,8 +8,6 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.runBlocking
-import org.berylpoint.entry.settings.GatewaySettings
-import org.berylpoint.entry.settings.SocketAddress
 import org.eclipse.jetty.http.UriCompliance
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.HttpConnectionFactory
@@ -42,9 +40,7 @@
  * Each request in progress occupies a thread, which writes the response, so the number of threads limits the requests.
  */
 public class GatewayHttpServer(
-    private val settings: GatewaySettings,
-    /** Already bound to the callers' address. */
-    private val callerChannel: ServerSocketChannel,
+    private val channels: ListeningChannels,
     private val registry: PrometheusRegistry,
     private val handlers: GatewayHttpHandlers,
 ) : AutoCloseable {
@@ -59,8 +55,7 @@
         config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
         config.jetty.modifyServer { server ->
             server.stopTimeout = 0
-            connectors += listOf(settings.callerAddress, settings.readyAddress, settings.metricsAddress)
-                .map { connector(server, it) }
+            connectors += channels.all.map { connector(server, it) }
             server.connectors = connectors.toTypedArray()
         }
         for (method in METHODS) config.routes.addHttpHandler(method, "/", ::handle)
@@ -87,24 +82,21 @@
         javalin.stop()
     }
 
-    private fun connector(server: Server, address: SocketAddress): ServerConnector {
+    private fun connector(server: Server, channel: ServerSocketChannel): ServerConnector {
         val http = HttpConfiguration()
         http.sendServerVersion = false
         http.sendDateHeader = false
         http.uriCompliance = UriCompliance.UNSAFE
         http.requestHeaderSize = MAX_HEADER_BYTES
         val connector = ServerConnector(server, 1, 1, HttpConnectionFactory(http))
-        connector.host = address.host
-        connector.port = address.port
-        connector.acceptQueueSize = ACCEPT_QUEUE
         connector.idleTimeout = INITIAL_IDLE_MILLIS
-        if (address == settings.callerAddress) connector.open(callerChannel)
+        connector.open(channel)
         return connector
     }
 
     private fun handle(context: Context) {
         when (context.req().localPort) {
-            settings.callerAddress.port -> {
+            channels.callers.socket().localPort -> {
                 activeCount.incrementAndGet()
                 try {
                     serve(context)
@@ -112,7 +104,7 @@
                     activeCount.decrementAndGet()
                 }
             }
-            settings.readyAddress.port -> context.status(if (handlers.isReady()) OK else UNAVAILABLE)
+            channels.readiness.socket().localPort -> context.status(if (handlers.isReady()) OK else UNAVAILABLE)
             else -> admin(context)
         }
     }
@@ -175,21 +167,18 @@
         }
     }
 
-    public companion object {
-        /** Backlog of connections that are not accepted yet. */
-        public const val ACCEPT_QUEUE: Int = 512
-
-        private const val MAX_THREADS = 500
-        private const val MIN_THREADS = 8
-        private const val MAX_HEADER_BYTES = 32_768
-        private const val INITIAL_IDLE_MILLIS = 60_000L
-        private const val IDLE_MARGIN_MILLIS = 15_000L
-        private const val OK = 200
-        private const val MALFORMED = 400
-        private const val NOT_FOUND = 404
-        private const val TOO_LARGE = 413
-        private const val UNAVAILABLE = 503
-        private val METHODS = listOf(
+    private companion object {
+        const val MAX_THREADS = 500
+        const val MIN_THREADS = 8
+        const val MAX_HEADER_BYTES = 32_768
+        const val INITIAL_IDLE_MILLIS = 60_000L
+        const val IDLE_MARGIN_MILLIS = 15_000L
+        const val OK = 200
+        const val MALFORMED = 400
+        const val NOT_FOUND = 404
+        const val TOO_LARGE = 413
+        const val UNAVAILABLE = 503
+        val METHODS = listOf(
             HandlerType.GET,
             HandlerType.POST,
             HandlerType.PUT,
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/peers/PeerReportExchange.kt
@@ -23,7 +23,7 @@
 
 /** Sends this instance's report to all other instances at an interval and receives theirs. */
 internal class PeerReportExchange(
-    private val openChannel: () -> ReportChannel,
+    private val channel: ReportChannel,
     private val view: PeerView,
     private val log: DecisionLog,
     private val buildReport: (sequence: Long) -> NodeReport,
@@ -33,41 +33,36 @@
 ) {
     private val sequence = AtomicLong()
 
-    @Volatile
-    private var channel: ReportChannel? = null
-
-    /** What this process has sent to other instances; null before [start]. */
-    val traffic: ReportTraffic? get() = channel?.traffic
+    /** What this process has sent to other instances. */
+    val traffic: ReportTraffic get() = channel.traffic
 
     /** Sends changed rows to the live instances of [domain], or nothing where a datagram can't hold them. */
     fun forwardRows(domain: String, rows: RowsPart) {
         if (rows.rows.sumOf { it.value.size } > MAX_FORWARDED_BYTES) return
-        channel?.send(buildReport(sequence.get()).withOnly(rows), view.liveAddressesIn(domain))
+        channel.send(buildReport(sequence.get()).withOnly(rows), view.liveAddressesIn(domain))
     }
 
     /** Sends changed rows to the instance that receives reports at [peerAddress]. */
     fun sendRows(rows: RowsPart, peerAddress: String) {
-        channel?.send(buildReport(sequence.get()).withOnly(rows), listOf(peerAddress))
+        channel.send(buildReport(sequence.get()).withOnly(rows), listOf(peerAddress))
     }
 
-    /** Opens the channel, then sends and receives in [scope] until it ends. */
+    /** Sends and receives in [scope] until it ends, which closes the channel. */
     fun start(scope: CoroutineScope) {
-        val channel = openChannel()
-        this.channel = channel
         scope.coroutineContext.job.invokeOnCompletion { channel.close() }
         channel.receive { received ->
             val rows = received.rows
             if (rows != null) onRows(rows) else view.accept(received)?.let(onReport)
         }
-        scope.launch { restarting(log, "peer reports") { sendReports(channel) } }
+        scope.launch { restarting(log, "peer reports") { sendReports() } }
         scope.launch { restarting(log, "peer traffic") { logTraffic(channel.traffic) } }
     }
 
-    private suspend fun sendReports(channel: ReportChannel) {
+    private suspend fun sendReports() {
         var round = 0
         while (true) {
             view.removeExpiredPeers()
-            sendRound(channel, round++)
+            sendRound(round++)
         }
     }
 
@@ -75,14 +70,14 @@
      * Sends one report to each instance within the time between two reports. It goes out to a few instances at a time,
      * so that nothing else waits long behind it on the link; each of them gets what is known at its turn.
      */
-    private suspend fun sendRound(channel: ReportChannel, round: Int) {
+    private suspend fun sendRound(round: Int) {
         val number = sequence.incrementAndGet()
         val targets = view.takeTargets()
         val areSmall = !isWhole(round) && targets.all { it.needs == ReportNeeds.NOTHING }
         val slices = targets.chunked(if (areSmall) SMALL_REPORTS_AT_ONCE else LARGE_REPORTS_AT_ONCE)
         val interval = PeerView.reportIntervalMillis(view.peerCount).milliseconds
         for (slice in slices) {
-            sendTo(slice, channel, buildReport(number), round)
+            sendTo(slice, buildReport(number), round)
             delay(interval / slices.size)
         }
         if (slices.isEmpty()) delay(interval)
@@ -90,7 +85,7 @@
 
     private fun isWhole(round: Int) = round % WHOLE_REPORT_ROUNDS == 0
 
-    private fun sendTo(targets: List<ReportTarget>, channel: ReportChannel, report: NodeReport, round: Int) {
+    private fun sendTo(targets: List<ReportTarget>, report: NodeReport, round: Int) {
         val isPacked = report.readsPacked && view.liveReports.all { it.readsPacked }
         for ((needs, group) in targets.groupBy { it.needs }) {
             val part = report.partFor(needs, round)
--- a/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/node/BerylpointCommand.kt
@@ -11,6 +11,7 @@
 import com.github.ajalt.clikt.parameters.options.validate
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.file
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.runBlocking
 import org.berylpoint.entry.gateway.GatewayProcess
 import org.berylpoint.entry.gateway.WarmUp
@@ -22,6 +23,10 @@
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
+private val logger = KotlinLogging.logger {}
+
+private const val START_FAILED = 3
+
 /** The command line of an entry instance. */
 internal class BerylpointCommand : CliktCommand(name = "berylpoint") {
     init {
@@ -32,7 +37,8 @@
     override fun help(context: Context): String = """
         An entry instance of Berylpoint.
 
-        Exit codes: 0 after a graceful stop or a clean check, 1 for faults in the settings, 2 for wrong usage.
+        Exit codes: 0 after a graceful stop or a clean check, 1 for faults in the settings, 2 for wrong usage, 3 if the
+        start failed, for example since an address stays taken.
     """.trimIndent()
 
     override fun run() = Unit
@@ -49,8 +55,8 @@
     override fun help(context: Context): String = "Runs an entry instance. Example: berylpoint run --settings entry.ini"
 
     override fun run() {
-        val process = EntryProcess(readSettings(settings))
-        runBlocking { process.start() }
+        val values = readSettings(settings)
+        val process = startOrEnd { EntryProcess(values).also { runBlocking { it.start() } } }
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -95,12 +101,12 @@
             },
             ifRight = { it },
         )
-        val process = GatewayProcess(values, System::currentTimeMillis)
+        val process = startOrEnd { GatewayProcess(values, System::currentTimeMillis) }
         val stopped = CountDownLatch(1)
         // Without these handlers, the JVM would exit at once on either signal.
         Signal.handle(Signal("HUP")) { process.reload(::read) }
         Signal.handle(Signal("TERM")) { stopped.countDown() }
-        process.start()
+        startOrEnd { process.start() }
         stopped.await()
         process.stop()
         LogConfigurator.flush()
@@ -148,6 +154,19 @@
     }
 }
 
+/**
+ * Runs [start], and ends the process if that fails. Threads that were started by then would keep it alive, so that
+ * nobody starts it again.
+ */
+private fun <T> startOrEnd(start: () -> T): T = try {
+    start()
+} catch (e: Exception) {
+    logger.error(e) { "process: the start failed" }
+    LogConfigurator.flush()
+    Runtime.getRuntime().halt(START_FAILED)
+    throw e
+}
+
 private fun CliktCommand.readSettings(file: File): NodeSettings = NodeSettings.read(file).fold(
     ifLeft = { faults ->
         faults.forEach { echo(it.toString(), err = true) }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/ReportTrafficTest.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/ReportTrafficTest.kt
@@ -144,7 +144,7 @@
 
     init {
         names.forEach { view.add(it, it) }
-        val exchange = PeerReportExchange(::channel, view, DecisionLog(), ::report, {}, {})
+        val exchange = PeerReportExchange(channel(), view, DecisionLog(), ::report, {}, {})
         scope.backgroundScope.launch { reportAsPeers() }
         exchange.start(scope.backgroundScope)
     }
--- a/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/ReportingInstances.kt
+++ b/entry/src/test/kotlin/org/berylpoint/entry/gateway/peers/ReportingInstances.kt
@@ -24,7 +24,7 @@
         val clocks = Clocks(scope.testScheduler.timeSource) { scope.currentTime }
         val view = PeerView(name, clocks, DecisionLog())
         all.forEach { view.add(it, it) }
-        val exchange = PeerReportExchange({ channelOf(name) }, view, DecisionLog(), { report(name, it) }, {}, {})
+        val exchange = PeerReportExchange(channelOf(name), view, DecisionLog(), { report(name, it) }, {}, {})
         exchange.start(scope.backgroundScope)
         return view
     }
