--- a/policy/src/test/kotlin/org/berylpoint/policy/rollout/RolloutPolicyTest.kt
+++ b/policy/src/test/kotlin/org/berylpoint/policy/rollout/RolloutPolicyTest.kt
@@ -106,7 +106,7 @@
             nextStep(whole.new, whole.old, 11_800, 12_000, 700, verdict).share shouldBeLessThanOrEqual 0.1
         }
 
-        // Guards against a version that is in doubt for as long as it runs, and is kept, or completed at last (EXPOSURE).
+        // Guards against a version that is in doubt all the time and kept, or completed at last (EXPOSURE).
         test("a version that is in doubt when its time is over is taken back") {
             val step = nextStep(evidence(55, 2), evidence(1_140, 0), 12_000, 12_000, verdict = VersionVerdict.SUSPECT)
             step.state shouldBe RolloutState.ROLLED_BACK
