--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/BoundAddresses.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/BoundAddresses.kt
@@ -51,17 +51,23 @@
                 }
             }
 
-        private suspend fun <T> whileTaken(address: SocketAddress, log: DecisionLog, bind: (SocketAddress) -> T): T {
-            var tries = 0
-            while (true) {
-                try {
-                    return bind(address)
-                } catch (e: BindException) {
-                    if (++tries == 1) log.event("process", "an address is taken", "address" to address)
-                    if (tries == MAX_TRIES) throw BindException("$address: ${e.message}").apply { initCause(e) }
-                }
+        private suspend fun <T : Any> whileTaken(
+            address: SocketAddress,
+            log: DecisionLog,
+            bind: (SocketAddress) -> T,
+        ): T {
+            repeat(MAX_TRIES) { failures ->
+                bindOrNull(address, bind)?.let { return it }
+                if (failures == 0) log.event("process", "an address can't be bound yet", "address" to address)
                 delay(RETRY_INTERVAL)
             }
+            throw BindException("$address can't be bound")
+        }
+
+        private fun <T> bindOrNull(address: SocketAddress, bind: (SocketAddress) -> T): T? = try {
+            bind(address)
+        } catch (_: BindException) {
+            null
         }
     }
 }
