--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -152,6 +152,7 @@
                 isStopping
             }, ::dump, ::maxBodyBytes),
         )
+    private val build by lazy { BuildId.of() }
     private var lastSequence = 0L
 
     @Volatile
@@ -192,6 +193,7 @@
         scope.launch { restarting(log, "rollout decisions") { decideOnRollouts() } }
         scope.launch { restarting(log, "idle timeout") { applyIdleTimeout() } }
         scope.launch { restarting(log, "shares") { queues.run() } }
+        scope.launch { log.event("process", "the build is known", "build" to build) }
         log.event("process", "listening for requests", "caller" to settings.callerAddress)
     }
 
@@ -334,6 +336,7 @@
     private fun dump(): String = buildJsonObject {
         val relativeSpeeds = speeds.relativeSpeeds()
         put("instance", settings.instance)
+        put("build", build)
         put("configVersion", site.view.config?.version)
         put("inFlight", flow.inFlight)
         put("dutyToken", leaseManager.holder?.fencingToken)
