Split the planner of rollouts and the state dump from large classes

Evidence: the tests of rollouts, of the gateway process and of the dump pass. No message or row changes.

--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/GatewayProcess.kt
@@ -10,10 +10,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.addJsonObject
-import kotlinx.serialization.json.buildJsonArray
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
 import org.berylpoint.entry.gateway.caller.GatewayHttpHandlers
 import org.berylpoint.entry.gateway.caller.GatewayHttpServer
 import org.berylpoint.entry.gateway.duty.CapacityDuty
@@ -102,6 +98,7 @@
     )
     private val queues = RequestQueues(settings.instance, clocks, site, peers, pool, log, metrics, random)
     private val queueDump = QueueDump { queues.states }
+    private val build by lazy { BuildId.of() }
     private val flow =
         RequestFlow(
             clocks, site, queues, client, notices, limits, counts, versions, quarantine, log, metrics, random,
@@ -144,15 +141,19 @@
         onRows = { watcher.applyForwardedRows(it) },
         onReport = ::onReport,
     )
+    private val dump by lazy {
+        GatewayDump(settings.instance, build, site, eras, clocks, leaseManager, speeds, rollouts, queueDump, peers) {
+            flow.inFlight
+        }
+    }
     private val front =
         GatewayHttpServer(
             addresses.http,
             registry,
             GatewayHttpHandlers(flow::serve, ::isReady, {
                 isStopping
-            }, ::dump, ::maxBodyBytes),
+            }, { dump.toJson() }, ::maxBodyBytes),
         )
-    private val build by lazy { BuildId.of() }
     private var lastSequence = 0L
 
     @Volatile
@@ -333,34 +334,6 @@
         return rollouts.addTo(watcher.addTo(speeds.addTo(withDemand)))
     }
 
-    private fun dump(): String = buildJsonObject {
-        val relativeSpeeds = speeds.relativeSpeeds()
-        put("instance", settings.instance)
-        put("build", build)
-        put("configVersion", site.view.config?.version)
-        put("inFlight", flow.inFlight)
-        put("dutyToken", leaseManager.holder?.fencingToken)
-        put("storeEra", eras.current)
-        put(
-            "servers",
-            buildJsonArray {
-                for (server in site.view.servers.values) {
-                    addJsonObject {
-                        put("id", server.entry.id.value)
-                        put("service", server.entry.service.value)
-                        put("draining", server.entry.isDraining)
-                        put("cold", server.isCold(clocks.steadyMillis))
-                        put("revision", server.revision.number)
-                        put("speed", relativeSpeeds[server.entry.id])
-                    }
-                }
-            },
-        )
-        put("rollouts", rollouts.toJson())
-        put("queues", queueDump.toJson())
-        put("peers", buildJsonArray { for (peer in peers.liveReports) addJsonObject { put("name", peer.name) } })
-    }.toString()
-
     private companion object {
         const val WORKER_THREADS = 4
         const val MILLIS_PER_SECOND = 1_000L
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/RolloutDuty.kt
@@ -23,9 +23,6 @@
 import org.berylpoint.policy.rollout.ComparedVersions
 import org.berylpoint.policy.rollout.ExposureAccount
 import org.berylpoint.policy.rollout.ExposureBounds
-import org.berylpoint.policy.rollout.RolloutPolicy
-import org.berylpoint.policy.rollout.RolloutSchedule
-import org.berylpoint.policy.rollout.RolloutStep
 import org.berylpoint.policy.rollout.VersionComparison
 import org.berylpoint.policy.rollout.VersionVerdict
 import kotlin.math.abs
@@ -50,6 +47,7 @@
 ) : VersionSelector {
     private val decisions = RolloutDecisions(store, site, clocks, log)
     private val barred = BarredVersions(site, log)
+    private val planner = RolloutPlanner(peers, clocks, log)
 
     /**
      * Replaced as a whole by the one task that calls [updateShares]. Requests read it without a lock: the report that
@@ -247,56 +245,12 @@
         if (decisions.needsWrite(rollout, RolloutState.RUNNING)) {
             if (!write(rollout, RolloutState.RUNNING, self)) return
         }
-        val step = nextStep(rollout)
-        plan(rollout, step)
+        val step = planner.plan(rollout, decisions.lastCallMillis)
         if (step.state != RolloutState.RUNNING && write(rollout, step.state, self)) {
             adopt(rollout, step.state, self)
         }
     }
 
-    private fun nextStep(rollout: TrackedRollout): RolloutStep {
-        val now = clocks.steadyMillis
-        val schedule = RolloutSchedule(
-            elapsedMillis = now - rollout.startedAtMillis,
-            durationMillis = rollout.order.durationMillis,
-            handoverMillis = rollout.handoverSinceMillis?.let { now - it },
-            minHandoverMillis = LAST_RESPONSES_MILLIS + noticeMillis(rollout),
-            writeMillis = WRITE_MARGIN_MILLIS + decisions.lastCallMillis,
-        )
-        val verdict = if (rollout.isRejected) VersionVerdict.WORSE else rollout.verdict
-        val account = rollout.account
-        return RolloutPolicy.nextStep(verdict, rollout.outcomes, schedule, account, rollout.requestsPerSecond)
-    }
-
-    /** Time from the beginning of a handover until all instances have acted on it. */
-    private fun noticeMillis(rollout: TrackedRollout): Long {
-        val reportMillis = PeerView.reportIntervalMillis(peers.peerCount)
-        val since = rollout.handoverSinceMillis ?: return reportMillis
-        val announced = rollout.handoverAnnouncedAtMillis
-        return if (announced != null && since - announced > reportMillis) INTERVAL_MILLIS else reportMillis
-    }
-
-    private fun plan(rollout: TrackedRollout, step: RolloutStep) {
-        val now = clocks.steadyMillis
-        val isAnnounced = step.handoverInMillis != null || step.share == 1.0
-        rollout.handoverAnnouncedAtMillis = if (isAnnounced) rollout.handoverAnnouncedAtMillis ?: now else null
-        val end = rollout.startedAtMillis + rollout.order.durationMillis
-        // Others change over at the moment that they were told, also if this task comes a little later.
-        val planned = rollout.ownPlan?.handoverAtMillis?.coerceAtMost(now) ?: now
-        rollout.handoverSinceMillis = if (step.share == 1.0) rollout.handoverSinceMillis ?: planned else null
-        rollout.ownPlan = RolloutPlan(step.share, step.handoverInMillis?.plus(now), end)
-        if (now < end || step.state != RolloutState.RUNNING || rollout.isOverdueLogged) return
-        rollout.isOverdueLogged = true
-        logChange(
-            rollout,
-            "a rollout is not completed in time",
-            "verdict" to rollout.verdict.name,
-            "outcomes" to rollout.outcomes,
-            "handover" to rollout.handoverSinceMillis?.let { now - it },
-            "perSecond" to rollout.requestsPerSecond,
-        )
-    }
-
     /** Goes by what the store says of [rollout], which another instance may have decided. */
     private fun takeOverStatus(rollout: TrackedRollout) {
         val status = decisions.statusOf(rollout) ?: return
@@ -320,19 +274,8 @@
 
     private fun isEnd(state: RolloutState) = state != RolloutState.RUNNING
 
-    private fun logChange(rollout: TrackedRollout, message: String, vararg fields: Pair<String, Any?>) {
-        val order = rollout.order
-        log.event(
-            "rollout",
-            message,
-            "service" to order.service.value,
-            "to" to order.to.value,
-            "order" to rollout.id,
-            "sent" to rollout.sent.get(),
-            "sentToNew" to rollout.sentToNew.get(),
-            *fields,
-        )
-    }
+    private fun logChange(rollout: TrackedRollout, message: String, vararg fields: Pair<String, Any?>) =
+        rollout.logChange(log, message, *fields)
 
     private fun logEvidence(rollout: TrackedRollout, verdict: VersionVerdict, whole: ComparedVersions) = logChange(
         rollout,
@@ -359,11 +302,5 @@
 
         /** The share of a canary changes a little each time that requests are counted. */
         private const val MIN_LOGGED_CHANGE = 0.02
-
-        /** Time for most responses of the old servers to end. */
-        private const val LAST_RESPONSES_MILLIS = 150L
-
-        /** Time before the end of a rollout at which its completion is written, besides what the last call took. */
-        private const val WRITE_MARGIN_MILLIS = 400L
     }
 }
--- a/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/TrackedRollout.kt
+++ b/entry/src/main/kotlin/org/berylpoint/entry/gateway/duty/TrackedRollout.kt
@@ -1,5 +1,6 @@
 package org.berylpoint.entry.gateway.duty
 
+import org.berylpoint.entry.gateway.DecisionLog
 import org.berylpoint.model.serving.RolloutId
 import org.berylpoint.model.serving.RolloutOrder
 import org.berylpoint.model.serving.RolloutState
@@ -164,6 +165,20 @@
         },
     )
 
+    /** Logs [message] of the rollout, with what this instance has sent. */
+    fun logChange(log: DecisionLog, message: String, vararg fields: Pair<String, Any?>) {
+        log.event(
+            "rollout",
+            message,
+            "service" to order.service.value,
+            "to" to order.to.value,
+            "order" to id,
+            "sent" to sent.get(),
+            "sentToNew" to sentToNew.get(),
+            *fields,
+        )
+    }
+
     internal companion object {
         const val PER_MILLE = 1_000
 
